--- /dev/null
+++ b/switchhub/__init__.py
@@ -0,0 +1,3 @@
+"""switchhub: a balancer for long-lived connections."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/switchhub/decision/brain.py
@@ -0,0 +1,293 @@
+"""Every decision of a balancer. Its types, events and actions: `switchhub/decision/interface.py`.
+
+Each server has a sum: the load hints of the connections that this balancer placed there, or was told open at
+its start, and that still stand. A new connection goes where sum + its own hint is smallest.
+
+One path: lawful servers -> exceptions narrow the candidates -> the least sum decides. An exception that would
+leave nobody is passed over; a rule never is. Times are milliseconds, loads whole microseconds of work a second.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from switchhub.decision.interface import (
+    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Note,
+    Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged, RosterFailed,
+    RosterKind, Scope, Server, Settings, SetTimer, State, TimerFired, WatchRoster,
+)
+
+HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
+NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
+
+
+class _Node:
+    """What this balancer knows of one server."""
+
+    __slots__ = ("cell", "held", "id", "server", "sent", "state", "total", "zone")
+
+    def __init__(self, server: Server) -> None:
+        self.id = server.id
+        self.held: dict[str, _Conn] = {}
+        self.total = 0  # the design's sum
+        self.sent: deque[tuple[float, int]] = deque()  # while cold: what was sent here, and when
+        self.update(server)
+
+    def update(self, server: Server) -> None:
+        self.server, self.state, self.zone, self.cell = server, server.state, server.zone, server.cell
+
+
+class _Conn:
+    """A request that is held: being placed, out on an attempt, or standing as a connection."""
+
+    __slots__ = ("attempts", "deadline", "left", "load", "node", "ran", "request", "up")
+
+    def __init__(self, request: Request, load: int, deadline: float) -> None:
+        self.request, self.load, self.deadline = request, load, deadline
+        self.attempts = 0
+        self.node: _Node | None = None  # where an attempt is out or the connection stands
+        self.up = False
+        self.left = False  # the client has gone; only the attempt's end is awaited
+        self.ran: tuple[Server, float] | None = None  # first attempt that may have run: where, when sent
+
+
+class Balancer:
+    """Events in, actions out. Same settings, seed and events: same actions."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._settings = settings
+        self._rng = Random(seed)
+        self._now = 0.0
+        self._out: list[Action] = []
+        self._nodes: dict[str, _Node] = {}
+        self._conns: dict[str, _Conn] = {}
+        self._mean_hint = 0.0
+        self._watching = False
+        self._asks_failed = 0
+        self._timers: dict[int, Callable[[], None]] = {}
+        self._last_token = 0
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            RequestArrived: self._on_request,
+            ConnectionAdopted: self._on_adopted,
+            ConnectionUp: self._on_up,
+            Outcome: self._on_outcome,
+            ClientLeft: self._on_left,
+            LoadTold: self._on_load,
+            DelayTold: self._on_delay,
+            RosterChanged: self._on_roster,
+            RosterFailed: self._on_roster_failed,
+            TimerFired: self._on_timer,
+            ProbeAnswered: self._on_probe,
+        }
+
+    def start(self, now: float) -> list[Action]:
+        """The first actions, before any event."""
+        self._now, self._out = now, []
+        if self._settings.must_ask_roster:
+            self._ask_roster()
+        return self._out
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event; events of one moment come one by one, in their order."""
+        self._now, self._out = now, []
+        self._handlers[type(event)](event)
+        return self._out
+
+    def sums(self) -> dict[str, int]:
+        """The design's sum of each known server, for tests and for whoever looks in."""
+        return {node.id: node.total for node in self._nodes.values()}
+
+    # Requests and the connections that they become.
+
+    def _on_request(self, event: RequestArrived) -> None:
+        request = event.request
+        conn = _Conn(request, self._load_of(request), self._now + request.budget)
+        self._conns[request.id] = conn
+        self._place(conn)
+
+    def _on_adopted(self, event: ConnectionAdopted) -> None:
+        conn = _Conn(event.request, self._load_of(event.request), float("inf"))
+        node = self._nodes.get(event.server)
+        if node is None:  # it stands somewhere that our list does not name: count it, send nothing there
+            node = self._nodes[event.server] = _Node(Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0))
+        conn.attempts, conn.up = 1, True
+        self._conns[event.request.id] = conn
+        self._hold(conn, node)
+
+    def _load_of(self, request: Request) -> int:
+        """The hint, or for a missing one the mean hint lately seen."""
+        if request.hint is None:
+            return round(self._mean_hint)
+        step = HINT_MEMORY if self._mean_hint else 1.0
+        self._mean_hint += step * (request.hint - self._mean_hint)
+        return round(request.hint)
+
+    def _hold(self, conn: _Conn, node: _Node) -> None:
+        conn.node = node
+        node.held[conn.request.id] = conn
+        node.total += conn.load
+
+    def _release(self, conn: _Conn) -> None:
+        """The connection has ended, or its set-up has failed: the sum falls at once."""
+        node, conn.node = conn.node, None
+        if node is not None:
+            del node.held[conn.request.id]
+            node.total -= conn.load
+
+    def _on_up(self, event: ConnectionUp) -> None:
+        conn = self._conns.get(event.request)
+        if conn is not None and conn.node is not None and event.attempt == conn.attempts - 1:
+            conn.up = True
+
+    def _on_outcome(self, event: Outcome) -> None:
+        conn = self._conns.get(event.request)
+        if conn is None or conn.node is None or event.attempt != conn.attempts - 1:
+            return
+        node, result = conn.node, event.result
+        self._release(conn)
+        if event.closed or conn.left or conn.up:
+            del self._conns[event.request]
+            return
+        if conn.ran is None and result not in NEVER_RAN:
+            conn.ran = (node.server, self._now - event.elapsed)
+        self._place(conn)
+
+    def _on_left(self, event: ClientLeft) -> None:
+        conn = self._conns.get(event.request)
+        if conn is not None:
+            conn.left = True
+            if conn.node is None:
+                del self._conns[event.request]
+
+    # The one path of a decision.
+
+    def _place(self, conn: _Conn) -> None:
+        candidates = self._lawful(conn)
+        if not candidates:
+            self._give_up(conn)
+            return
+        node = self._least(candidates)
+        conn.attempts += 1
+        self._hold(conn, node)
+        if self._cold_age(node) is not None:
+            node.sent.append((self._now, conn.load))
+        self._out.append(Attempt(conn.request.id, node.id, 0.0))
+
+    def _lawful(self, conn: _Conn) -> list[_Node]:
+        """The servers to which the four rules allow an attempt now."""
+        if conn.attempts >= self._settings.max_attempts or self._now >= conn.deadline:
+            return []
+        nodes = [node for node in self._nodes.values() if node.state is State.READY]  # rule 3
+        if conn.ran is not None:  # rule 2
+            kind = self._settings.classes[conn.request.class_index]
+            where, sent_at = conn.ran
+            if kind.repeat is Repeat.UNSAFE:
+                return []
+            if kind.repeat is Repeat.KEYED:
+                if self._now - sent_at >= kind.window:
+                    return []
+                if kind.scope is Scope.ZONE:
+                    nodes = [node for node in nodes if node.zone == where.zone]
+                elif kind.scope is Scope.CELL:
+                    nodes = [node for node in nodes if node.cell == where.cell]
+        if any(self._cold_age(node) is not None for node in nodes):
+            room = self._cold_room(nodes)
+            nodes = [node for node in nodes if self._fits_cold(node, conn.load, room)]  # rule 4
+        return nodes
+
+    def _least(self, nodes: list[_Node]) -> _Node:
+        """The design: the least sum; with the new hint on each side that hint decides nothing. Ties by lot."""
+        least = min(node.total for node in nodes)
+        ties = [node for node in nodes if node.total == least]
+        return ties[0] if len(ties) == 1 else self._rng.choice(ties)
+
+    def _give_up(self, conn: _Conn) -> None:
+        """The final answer, at once: a refusal where trying again is harmless, else a failure."""
+        kind = self._settings.classes[conn.request.class_index]
+        harmless = conn.ran is None or kind.repeat is Repeat.SAFE or (
+            kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL)
+        del self._conns[conn.request.id]
+        self._out.append(Refuse(conn.request.id, 0.0) if harmless else Fail(conn.request.id))
+
+    # Rule 4: a server that has just started.
+
+    def _cold_age(self, node: _Node) -> float | None:
+        """Time since the start of a server that may still be cold."""
+        born = node.server.born
+        age = self._now - born
+        return max(age, 0.0) if born and age < self._settings.cold_time else None
+
+    def _cold_room(self, nodes: list[_Node]) -> float:
+        """What a warm peer carries for this balancer: our part of what the cold one can at least do."""
+        warm = [node.total for node in nodes if self._cold_age(node) is None]
+        return sum(warm) / len(warm) if warm else self._mean_hint
+
+    def _fits_cold(self, node: _Node, load: int, peer: float) -> bool:
+        """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
+        age = self._cold_age(node)
+        if age is None:
+            return True
+        settings = self._settings
+        ramp = age / settings.cold_time
+        share = settings.cold_share + (1 - settings.cold_share) * ramp
+        sent = node.sent
+        while sent and sent[0][0] <= self._now - settings.fall_time:
+            sent.popleft()
+        budget = settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
+        return node.total + load <= peer * ramp and sum(each for _, each in sent) + load <= budget
+
+    # The roster.
+
+    def _ask_roster(self) -> None:
+        self._out.append(WatchRoster())
+
+    def _on_roster(self, event: RosterChanged) -> None:
+        if event.kind is not RosterKind.REMEMBERED:
+            self._watching, self._asks_failed = True, 0
+        if event.kind is not RosterKind.CHANGES:
+            named = {server.id for server in event.servers}
+            for node in self._nodes.values():
+                if node.id not in named:
+                    node.state = State.GONE
+        for server in event.servers:
+            known = self._nodes.get(server.id)
+            if known is None:
+                self._nodes[server.id] = _Node(server)
+            else:
+                known.update(server)
+        for node in [node for node in self._nodes.values() if node.state is State.GONE and not node.held]:
+            del self._nodes[node.id]
+
+    def _on_roster_failed(self, _event: RosterFailed) -> None:
+        """Danger: a list unasked for too long counts as told. Ask again well inside that time, not in step."""
+        self._asks_failed += 1
+        if self._watching or self._asks_failed == 1:
+            self._out.append(Note("roster lost, asking again"))
+        self._watching = False
+        longest = self._settings.ask_within / 4
+        wait = min(longest, longest / 16 * 2 ** min(self._asks_failed - 1, 4))
+        self._after(wait * self._rng.uniform(0.5, 1.0), self._ask_roster)
+
+    # Notes, probes and timers.
+
+    def _on_load(self, event: LoadTold) -> None:
+        pass
+
+    def _on_delay(self, event: DelayTold) -> None:
+        pass
+
+    def _on_probe(self, event: ProbeAnswered) -> None:
+        pass
+
+    def _after(self, delay: float, call: Callable[[], None]) -> None:
+        self._last_token += 1
+        self._timers[self._last_token] = call
+        self._out.append(SetTimer(self._last_token, delay))
+
+    def _on_timer(self, event: TimerFired) -> None:
+        call = self._timers.pop(event.token, None)
+        if call is not None:
+            call()
--- /dev/null
+++ b/switchhub/decision/interface.py
@@ -0,0 +1,287 @@
+"""The decision module's types: settings, events in, actions out.
+
+Times are milliseconds, loads are microseconds of work a second on a standard core.
+Nothing here belongs to one protocol: an adapter turns its own messages into these
+events and carries out the actions in the order given.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+
+class Repeat(Enum):
+    """What a second run of a request would do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """Which servers drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    """What the roster says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Result(Enum):
+    """How an attempt or a probe ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+class RosterKind(Enum):
+    """How a roster event relates to the list already held."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    REMEMBERED = "remembered"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of requests."""
+
+    name: str
+    repeat: Repeat
+    scope: Scope
+    window: float
+    aim: float
+    deadline: float
+    worth: float
+    message_aim: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer and the open connections that all balancers may hold for it."""
+
+    name: str
+    share: float
+    connections: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that a balancer is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...]
+    fleet_size: int
+    zone: int
+    max_attempts: int
+    probes_allowed: bool
+    retry_after_max: float
+    """Longest wait that clients are given with a refusal; 0 where they are given none."""
+    groups_share_work: bool
+    must_ask_roster: bool
+    ask_within: float
+    cold_time: float
+    cold_share: float
+    fall_multiple: float
+    fall_time: float
+    over_share_worth: float
+    probe_price: float
+    move_price: float
+    crossing_price: float
+
+
+class Server(NamedTuple):
+    """A roster entry."""
+
+    id: str
+    zone: int
+    kind: int
+    cell: int
+    state: State
+    weight: float
+    born: float
+
+
+class Request(NamedTuple):
+    """A client's request for a connection."""
+
+    id: str
+    class_index: int
+    budget: float
+    tenant: int = 0
+    hint: float | None = None
+    key: str | None = None
+    group: str | None = None
+    returning: bool = False
+
+
+# Events in.
+
+
+class RequestArrived(NamedTuple):
+    """A request is now ours; it is owed one final answer."""
+
+    request: Request
+
+
+class ConnectionAdopted(NamedTuple):
+    """A connection that stood before this balancer's start."""
+
+    request: Request
+    server: str
+
+
+class ConnectionUp(NamedTuple):
+    """An attempt's connection stands; no time-out binds it any more."""
+
+    request: str
+    attempt: int
+    server: str
+    elapsed: float
+
+
+class LoadTold(NamedTuple):
+    """The present load of a connection."""
+
+    request: str
+    attempt: int
+    server: str
+    load: float
+
+
+class DelayTold(NamedTuple):
+    """How long a message takes at a server now."""
+
+    request: str
+    attempt: int
+    server: str
+    delay: float
+
+
+class Outcome(NamedTuple):
+    """The one end of an attempt; `closed` when the request is over with it."""
+
+    request: str
+    attempt: int
+    server: str
+    closed: bool
+    elapsed: float
+    result: Result
+
+
+class ClientLeft(NamedTuple):
+    """The request is over and nothing is owed; attempts that are out still end."""
+
+    request: str
+
+
+class RosterChanged(NamedTuple):
+    """The roster, or changes to it."""
+
+    kind: RosterKind
+    servers: tuple[Server, ...]
+
+
+class RosterFailed(NamedTuple):
+    """A roster call failed, or the subscription is lost; the held list stands."""
+
+
+class TimerFired(NamedTuple):
+    """A timer that the balancer has set is due."""
+
+    token: int
+
+
+class ProbeAnswered(NamedTuple):
+    """What a probe found."""
+
+    server: str
+    result: Result
+    report: Mapping[str, float]
+
+
+Event = (
+    RequestArrived
+    | ConnectionAdopted
+    | ConnectionUp
+    | LoadTold
+    | DelayTold
+    | Outcome
+    | ClientLeft
+    | RosterChanged
+    | RosterFailed
+    | TimerFired
+    | ProbeAnswered
+)
+
+
+# Actions out.
+
+
+class Attempt(NamedTuple):
+    """Set the request up at a server; attempts count from 0. Time-out 0: as long as the client waits."""
+
+    request: str
+    server: str
+    timeout: float
+
+
+class Refuse(NamedTuple):
+    """Final answer: turned away, trying again is harmless."""
+
+    request: str
+    retry_after: float
+
+
+class Fail(NamedTuple):
+    """Final answer: failed, nothing promised."""
+
+    request: str
+
+
+class Move(NamedTuple):
+    """Close an open connection politely; its client comes again."""
+
+    request: str
+
+
+class SetTimer(NamedTuple):
+    """Ask for a `TimerFired` with this token."""
+
+    token: int
+    delay: float
+
+
+class WatchRoster(NamedTuple):
+    """Ask for the roster's changes from now on."""
+
+
+class Probe(NamedTuple):
+    """Ask a server for its load report."""
+
+    server: str
+
+
+class Note(NamedTuple):
+    """One line for whoever is on call."""
+
+    text: str
+
+
+Action = Attempt | Refuse | Fail | Move | SetTimer | WatchRoster | Probe | Note
