--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -21,6 +21,7 @@
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
+COLD_CARE = 0.4  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
 
@@ -221,9 +222,9 @@
         return max(age, 0.0) if born and age < self._settings.cold_time else None
 
     def _cold_room(self, nodes: list[_Node]) -> float:
-        """What a warm peer carries for this balancer: our part of what the cold one can at least do."""
-        warm = [node.total for node in nodes if self._cold_age(node) is None]
-        return sum(warm) / len(warm) if warm else self._mean_hint
+        """What the middle warm peer carries for this balancer: our part of what the cold one can one day do."""
+        warm = sorted(node.total for node in nodes if self._cold_age(node) is None)
+        return float(warm[(len(warm) - 1) // 2]) if warm else self._mean_hint
 
     def _fits_cold(self, node: _Node, load: int, peer: float) -> bool:
         """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
@@ -236,7 +237,7 @@
         sent = node.sent
         while sent and sent[0][0] <= self._now - settings.fall_time:
             sent.popleft()
-        budget = settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
+        budget = COLD_CARE * settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
         return node.total + load <= peer * ramp and sum(each for _, each in sent) + load <= budget
 
     # The roster.
