--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -21,7 +21,7 @@
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
-COLD_CARE = 0.4  # part of the cold budget used: peers may be overloaded, or twice as fast
+COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
 
