--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -21,6 +21,8 @@
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
+SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
+BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
@@ -28,13 +30,16 @@
 class _Node:
     """What this balancer knows of one server."""
 
-    __slots__ = ("cell", "held", "id", "server", "sent", "state", "total", "zone")
+    __slots__ = ("aside_until", "cell", "fails", "held", "id", "pending", "sent", "server", "state", "total", "zone")
 
     def __init__(self, server: Server) -> None:
         self.id = server.id
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
         self.sent: deque[tuple[float, int]] = deque()  # while cold: what was sent here, and when
+        self.fails = 0  # failed set-ups, less those that worked since
+        self.aside_until = 0.0
+        self.pending = 0  # set-ups under way
         self.update(server)
 
     def update(self, server: Server) -> None:
@@ -44,7 +49,7 @@
 class _Conn:
     """A request that is held: being placed, out on an attempt, or standing as a connection."""
 
-    __slots__ = ("attempts", "deadline", "left", "load", "node", "ran", "request", "up")
+    __slots__ = ("attempts", "deadline", "left", "load", "node", "ran", "request", "tried", "up")
 
     def __init__(self, request: Request, load: int, deadline: float) -> None:
         self.request, self.load, self.deadline = request, load, deadline
@@ -52,6 +57,7 @@
         self.node: _Node | None = None  # where an attempt is out or the connection stands
         self.up = False
         self.left = False  # the client has gone; only the attempt's end is awaited
+        self.tried: set[str] = set()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run: where, when sent
 
 
@@ -68,6 +74,7 @@
         self._mean_hint = 0.0
         self._watching = False
         self._asks_failed = 0
+        self._exceptions = (self._healthy, self._untried)
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -140,8 +147,16 @@
 
     def _on_up(self, event: ConnectionUp) -> None:
         conn = self._conns.get(event.request)
-        if conn is not None and conn.node is not None and event.attempt == conn.attempts - 1:
-            conn.up = True
+        if conn is None or conn.node is None or conn.up or event.attempt != conn.attempts - 1:
+            return
+        conn.up = True
+        node = conn.node
+        node.pending -= 1
+        if node.fails:
+            node.fails -= 1
+            node.aside_until = self._now
+            if not node.fails:
+                self._out.append(Note(f"server {node.id} serves again"))
 
     def _on_outcome(self, event: Outcome) -> None:
         conn = self._conns.get(event.request)
@@ -149,6 +164,10 @@
             return
         node, result = conn.node, event.result
         self._release(conn)
+        if not conn.up:
+            node.pending -= 1
+            if result in SICK:
+                self._set_aside(node, result)
         if event.closed or conn.left or conn.up:
             del self._conns[event.request]
             return
@@ -156,6 +175,14 @@
             conn.ran = (node.server, self._now - event.elapsed)
         self._place(conn)
 
+    def _set_aside(self, node: _Node, result: Result) -> None:
+        """A failed set-up: stay away for a while that grows with each further one."""
+        if not node.fails:
+            self._out.append(Note(f"server {node.id} set aside: {result.value}"))
+        node.fails = min(node.fails + 1, BACKOFF_STEPS)
+        wait = BACKOFF_FIRST * 2 ** (node.fails - 1)
+        node.aside_until = max(node.aside_until, self._now + wait * self._rng.uniform(0.5, 1.0))
+
     def _on_left(self, event: ClientLeft) -> None:
         conn = self._conns.get(event.request)
         if conn is not None:
@@ -170,8 +197,12 @@
         if not candidates:
             self._give_up(conn)
             return
+        for exception in self._exceptions:
+            candidates = exception(conn, candidates) or candidates
         node = self._least(candidates)
         conn.attempts += 1
+        conn.tried.add(node.id)
+        node.pending += 1
         self._hold(conn, node)
         if self._cold_age(node) is not None:
             node.sent.append((self._now, conn.load))
@@ -199,6 +230,16 @@
             nodes = [node for node in nodes if self._fits_cold(node, conn.load, room)]  # rule 4
         return nodes
 
+    # The exceptions, in their order. Each returns the candidates that remain; nobody left, and it is passed over.
+
+    def _untried(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: a failed set-up lowers that server's sum, and the next attempt goes back to it."""
+        return [node for node in nodes if node.id not in conn.tried] if conn.tried else nodes
+
+    def _healthy(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: a sick server answers fast or holds nothing, so its sum is least and it draws everybody."""
+        return [node for node in nodes if not node.fails or (node.aside_until <= self._now and not node.pending)]
+
     def _least(self, nodes: list[_Node]) -> _Node:
         """The design: the least sum; with the new hint on each side that hint decides nothing. Ties by lot."""
         least = min(node.total for node in nodes)
