--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -316,7 +316,12 @@
     # Notes, probes and timers.
 
     def _on_load(self, event: LoadTold) -> None:
-        pass
+        """Danger: a hint is the usual load and rough; where the present load is told, that counts in its place."""
+        conn = self._conns.get(event.request)
+        if conn is not None and conn.node is not None and event.attempt == conn.attempts - 1:
+            load = round(event.load)
+            conn.node.total += load - conn.load
+            conn.load = load
 
     def _on_delay(self, event: DelayTold) -> None:
         pass
