--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -23,6 +23,7 @@
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
+STRAIN, STRAIN_MEMORY = 1 / 3, 3000.0  # part of the shortest message aim that tells strain, and for how long
 COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
@@ -30,7 +31,10 @@
 class _Node:
     """What this balancer knows of one server."""
 
-    __slots__ = ("aside_until", "cell", "fails", "held", "id", "pending", "sent", "server", "state", "total", "zone")
+    __slots__ = (
+        "aside_until", "cell", "delay", "delay_at", "fails", "held", "id", "pending", "sent", "server", "state",
+        "total", "zone",
+    )
 
     def __init__(self, server: Server) -> None:
         self.id = server.id
@@ -40,6 +44,7 @@
         self.fails = 0  # failed set-ups, less those that worked since
         self.aside_until = 0.0
         self.pending = 0  # set-ups under way
+        self.delay, self.delay_at = 0.0, -STRAIN_MEMORY  # last told time of a message, and when that was
         self.update(server)
 
     def update(self, server: Server) -> None:
@@ -74,7 +79,8 @@
         self._mean_hint = 0.0
         self._watching = False
         self._asks_failed = 0
-        self._exceptions = (self._healthy, self._untried)
+        self._exceptions = (self._healthy, self._untried, self._bearable, self._calm)
+        self._strain = STRAIN * min((each.message_aim for each in settings.classes), default=0.0)
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -240,6 +246,15 @@
         """Danger: a sick server answers fast or holds nothing, so its sum is least and it draws everybody."""
         return [node for node in nodes if not node.fails or (node.aside_until <= self._now and not node.pending)]
 
+    def _bearable(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: sums know nothing of speed; where messages already miss their aim, one more serves nobody."""
+        aim = self._settings.classes[conn.request.class_index].message_aim
+        return [node for node in nodes if self._delay(node) < aim]
+
+    def _calm(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: a slow or crowded server keeps its full share until it is past its capacity."""
+        return [node for node in nodes if self._delay(node) < self._strain]
+
     def _least(self, nodes: list[_Node]) -> _Node:
         """The design: the least sum; with the new hint on each side that hint decides nothing. Ties by lot."""
         least = min(node.total for node in nodes)
@@ -324,7 +339,13 @@
             conn.load = load
 
     def _on_delay(self, event: DelayTold) -> None:
-        pass
+        node = self._nodes.get(event.server)
+        if node is not None:
+            node.delay, node.delay_at = event.delay, self._now
+
+    def _delay(self, node: _Node) -> float:
+        """The told time of a message there; old news is none."""
+        return node.delay if self._now - node.delay_at < STRAIN_MEMORY else 0.0
 
     def _on_probe(self, event: ProbeAnswered) -> None:
         pass
