--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from switchhub.decision.interface import (
-    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Note,
+    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Move, Note,
     Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged, RosterFailed,
     RosterKind, Scope, Server, Settings, SetTimer, State, TimerFired, WatchRoster,
 )
@@ -24,6 +24,7 @@
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 STRAIN, STRAIN_MEMORY = 1 / 3, 3000.0  # part of the shortest message aim that tells strain, and for how long
+MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
 COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
@@ -54,13 +55,14 @@
 class _Conn:
     """A request that is held: being placed, out on an attempt, or standing as a connection."""
 
-    __slots__ = ("attempts", "deadline", "left", "load", "node", "ran", "request", "tried", "up")
+    __slots__ = ("attempts", "deadline", "left", "load", "moving", "node", "ran", "request", "tried", "up")
 
     def __init__(self, request: Request, load: int, deadline: float) -> None:
         self.request, self.load, self.deadline = request, load, deadline
         self.attempts = 0
         self.node: _Node | None = None  # where an attempt is out or the connection stands
         self.up = False
+        self.moving = False  # its client was asked to come again
         self.left = False  # the client has gone; only the attempt's end is awaited
         self.tried: set[str] = set()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run: where, when sent
@@ -342,6 +344,23 @@
         node = self._nodes.get(event.server)
         if node is not None:
             node.delay, node.delay_at = event.delay, self._now
+            if event.delay >= self._strain:
+                self._relieve(node)
+
+    def _relieve(self, node: _Node) -> None:
+        """Danger: a strained server stays so while its connections last. Move a few, if others are calm."""
+        calm = [each for each in self._nodes.values() if each.state is State.READY and not each.fails
+                and self._delay(each) < self._strain and self._cold_age(each) is None]
+        if not calm:
+            return
+        most = node.total * MOVE_PART
+        classes = self._settings.classes
+        for conn in list(node.held.values()):
+            if conn.up and not conn.moving and conn.load <= most and (
+                    node.delay >= classes[conn.request.class_index].message_aim):
+                conn.moving = True
+                most -= conn.load
+                self._out.append(Move(conn.request.id))
 
     def _delay(self, node: _Node) -> float:
         """The told time of a message there; old news is none."""
