--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -25,10 +26,15 @@
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 STRAIN, STRAIN_MEMORY = 1 / 3, 3000.0  # part of the shortest message aim that tells strain, and for how long
 MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
+HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
 COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
 
+def _total(node: _Node) -> int:
+    return node.total
+
+
 class _Node:
     """What this balancer knows of one server."""
 
@@ -81,7 +87,7 @@
         self._mean_hint = 0.0
         self._watching = False
         self._asks_failed = 0
-        self._exceptions = (self._healthy, self._untried, self._bearable, self._calm)
+        self._exceptions = (self._healthy, self._untried, self._bearable, self._calm, self._near)
         self._strain = STRAIN * min((each.message_aim for each in settings.classes), default=0.0)
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
@@ -257,6 +263,12 @@
         """Danger: a slow or crowded server keeps its full share until it is past its capacity."""
         return [node for node in nodes if self._delay(node) < self._strain]
 
+    def _near(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: a crossing costs on each message, and sums closer than their own noise tell nothing apart."""
+        least = min(nodes, key=_total)
+        limit = least.total + HINT_NOISE * math.sqrt(sum(conn.load * conn.load for conn in least.held.values()))
+        return [node for node in nodes if node.zone == self._settings.zone and node.total <= limit]
+
     def _least(self, nodes: list[_Node]) -> _Node:
         """The design: the least sum; with the new hint on each side that hint decides nothing. Ties by lot."""
         least = min(node.total for node in nodes)
