Limits: a server that tells of strain may hold no more than it did then; refuse beyond

Now strain fixes a limit on the sum, a delay past the least aim lowers it by a tenth and moves the excess, calm raises it 5% a second; full holds it too.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -24,7 +24,9 @@
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
-STRAIN, STRAIN_MEMORY = 1 / 3, 3000.0  # part of the shortest message aim that tells strain, and for how long
+STRAIN = 1 / 3  # part of the shortest message aim that tells strain
+LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands still so long after strain, then grows so much a second
+OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
 COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
@@ -39,7 +41,7 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "cell", "delay", "delay_at", "fails", "held", "id", "pending", "sent", "server", "state",
+        "aside_until", "cell", "fails", "held", "id", "limit", "limit_at", "pending", "sent", "server", "state",
         "total", "zone",
     )
 
@@ -51,7 +53,7 @@
         self.fails = 0  # failed set-ups, less those that worked since
         self.aside_until = 0.0
         self.pending = 0  # set-ups under way
-        self.delay, self.delay_at = 0.0, -STRAIN_MEMORY  # last told time of a message, and when that was
+        self.limit, self.limit_at = math.inf, 0.0  # what the sum may rise to, by strain told last then
         self.update(server)
 
     def update(self, server: Server) -> None:
@@ -87,8 +89,12 @@
         self._mean_hint = 0.0
         self._watching = False
         self._asks_failed = 0
-        self._exceptions = (self._healthy, self._untried, self._bearable, self._calm, self._near)
-        self._strain = STRAIN * min((each.message_aim for each in settings.classes), default=0.0)
+        self._exceptions = (self._healthy, self._untried, self._within, self._near)
+        self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
+        self._strain = STRAIN * self._least_aim
+        self._standing = [0] * len(settings.tenants)  # connections of each tenant
+        quota = sum(tenant.connections for tenant in settings.tenants)
+        self._quota = quota if math.isfinite(quota) else 0.0
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -150,6 +156,8 @@
     def _hold(self, conn: _Conn, node: _Node) -> None:
         conn.node = node
         node.held[conn.request.id] = conn
+        if self._standing:
+            self._standing[conn.request.tenant] += 1
         node.total += conn.load
 
     def _release(self, conn: _Conn) -> None:
@@ -157,6 +165,8 @@
         node, conn.node = conn.node, None
         if node is not None:
             del node.held[conn.request.id]
+            if self._standing:
+                self._standing[conn.request.tenant] -= 1
             node.total -= conn.load
 
     def _on_up(self, event: ConnectionUp) -> None:
@@ -182,6 +192,8 @@
             node.pending -= 1
             if result in SICK:
                 self._set_aside(node, result)
+            elif result is Result.FULL:  # not sick: it takes no more than it holds
+                self._strain_told(node, 1.0)
         if event.closed or conn.left or conn.up:
             del self._conns[event.request]
             return
@@ -208,7 +220,7 @@
 
     def _place(self, conn: _Conn) -> None:
         candidates = self._lawful(conn)
-        if not candidates:
+        if not candidates or self._overloaded(conn, candidates):
             self._give_up(conn)
             return
         for exception in self._exceptions:
@@ -244,6 +256,19 @@
             nodes = [node for node in nodes if self._fits_cold(node, conn.load, room)]  # rule 4
         return nodes
 
+    def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
+        """Danger: past the fleet's capacity each further connection spoils all others: refuse it while harmless."""
+        part = OVER_SHARE_PART if self._over_share(conn) else 1.0
+        return self._harmless(conn) and not any(
+            node.total + conn.load <= self._limit(node) * part for node in self._healthy(conn, nodes))
+
+    def _over_share(self, conn: _Conn) -> bool:
+        """Whether its tenant holds more of its quota than all tenants do of theirs; that knows no zone's skew."""
+        if not self._quota:
+            return False
+        tenant = conn.request.tenant
+        return self._standing[tenant] * self._quota > self._settings.tenants[tenant].connections * sum(self._standing)
+
     # The exceptions, in their order. Each returns the candidates that remain; nobody left, and it is passed over.
 
     def _untried(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
@@ -254,14 +279,9 @@
         """Danger: a sick server answers fast or holds nothing, so its sum is least and it draws everybody."""
         return [node for node in nodes if not node.fails or (node.aside_until <= self._now and not node.pending)]
 
-    def _bearable(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: sums know nothing of speed; where messages already miss their aim, one more serves nobody."""
-        aim = self._settings.classes[conn.request.class_index].message_aim
-        return [node for node in nodes if self._delay(node) < aim]
-
-    def _calm(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: a slow or crowded server keeps its full share until it is past its capacity."""
-        return [node for node in nodes if self._delay(node) < self._strain]
+    def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: sums know nothing of speed, and a slow or crowded server keeps its full share past its capacity."""
+        return [node for node in nodes if node.total + conn.load <= self._limit(node)]
 
     def _near(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: a crossing costs on each message, and sums closer than their own noise tell nothing apart."""
@@ -277,11 +297,17 @@
 
     def _give_up(self, conn: _Conn) -> None:
         """The final answer, at once: a refusal where trying again is harmless, else a failure."""
+        del self._conns[conn.request.id]
+        if self._harmless(conn):
+            self._out.append(Refuse(conn.request.id, self._settings.retry_after_max))
+        else:
+            self._out.append(Fail(conn.request.id))
+
+    def _harmless(self, conn: _Conn) -> bool:
+        """Rule 2: whether the client may be told that trying again is harmless."""
         kind = self._settings.classes[conn.request.class_index]
-        harmless = conn.ran is None or kind.repeat is Repeat.SAFE or (
+        return conn.ran is None or kind.repeat is Repeat.SAFE or (
             kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL)
-        del self._conns[conn.request.id]
-        self._out.append(Refuse(conn.request.id, 0.0) if harmless else Fail(conn.request.id))
 
     # Rule 4: a server that has just started.
 
@@ -353,30 +379,45 @@
             conn.load = load
 
     def _on_delay(self, event: DelayTold) -> None:
+        """Danger: a slow or crowded server keeps its share. What it holds when it tells of strain is its limit."""
         node = self._nodes.get(event.server)
-        if node is not None:
-            node.delay, node.delay_at = event.delay, self._now
-            if event.delay >= self._strain:
-                self._relieve(node)
+        if node is None:
+            return
+        if event.delay < self._strain:
+            node.limit_at = self._now - LIMIT_HOLD  # calm again: the limit may rise from now on
+            return
+        heavy = event.delay >= self._least_aim
+        self._strain_told(node, 1 - MOVE_PART if heavy else 1.0)
+        if heavy:
+            self._relieve(node)
+
+    def _strain_told(self, node: _Node, part: float) -> None:
+        node.limit = min(self._limit(node), node.total) * part
+        node.limit_at = self._now
+
+    def _limit(self, node: _Node) -> float:
+        """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
+        calm = self._now - node.limit_at - LIMIT_HOLD
+        if calm <= 0:
+            return node.limit
+        return node.limit + calm * (LIMIT_GROWTH * node.limit + self._mean_hint) / 1000
 
     def _relieve(self, node: _Node) -> None:
-        """Danger: a strained server stays so while its connections last. Move a few, if others are calm."""
-        calm = [each for each in self._nodes.values() if each.state is State.READY and not each.fails
-                and self._delay(each) < self._strain and self._cold_age(each) is None]
-        if not calm:
-            return
-        most = node.total * MOVE_PART
-        classes = self._settings.classes
-        for conn in list(node.held.values()):
-            if conn.up and not conn.moving and conn.load <= most and (
-                    node.delay >= classes[conn.request.class_index].message_aim):
+        """Danger: a strained server stays so while its connections last. Move what is over its limit."""
+        excess = node.total - node.limit
+        for conn in sorted(node.held.values(), key=self._value):
+            if conn.moving:
+                excess -= conn.load
+        for conn in sorted(node.held.values(), key=self._value):
+            if conn.up and not conn.moving and conn.load <= excess:
                 conn.moving = True
-                most -= conn.load
+                excess -= conn.load
                 self._out.append(Move(conn.request.id))
 
-    def _delay(self, node: _Node) -> float:
-        """The told time of a message there; old news is none."""
-        return node.delay if self._now - node.delay_at < STRAIN_MEMORY else 0.0
+    def _value(self, conn: _Conn) -> float:
+        """What a unit of its work is worth."""
+        worth = self._settings.classes[conn.request.class_index].worth
+        return worth * (self._settings.over_share_worth if self._over_share(conn) else 1.0)
 
     def _on_probe(self, event: ProbeAnswered) -> None:
         pass
