--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -25,6 +25,7 @@
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
+TIMEOUT_SPREADS = 4.0  # an attempt may take the mean set-up time and so many of its mean deviations
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands still so long after strain, then grows so much a second
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
@@ -49,7 +50,7 @@
         self.id = server.id
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
-        self.sent: deque[tuple[float, int]] = deque()  # while cold: what was sent here, and when
+        self.sent: deque[tuple[float, float]] = deque()  # while cold: what was sent here, and when
         self.fails = 0  # failed set-ups, less those that worked since
         self.aside_until = 0.0
         self.pending = 0  # set-ups under way
@@ -87,6 +88,7 @@
         self._nodes: dict[str, _Node] = {}
         self._conns: dict[str, _Conn] = {}
         self._mean_hint = 0.0
+        self._setup_time = self._setup_spread = 0.0  # of set-ups that worked: mean, and mean deviation
         self._watching = False
         self._asks_failed = 0
         self._exceptions = (self._healthy, self._untried, self._within, self._near)
@@ -174,6 +176,9 @@
         if conn is None or conn.node is None or conn.up or event.attempt != conn.attempts - 1:
             return
         conn.up = True
+        gain = 1 / 16 if self._setup_time else 1.0
+        self._setup_spread += gain * (abs(event.elapsed - self._setup_time) - self._setup_spread)
+        self._setup_time += gain * (event.elapsed - self._setup_time)
         node = conn.node
         node.pending -= 1
         if node.fails:
@@ -231,8 +236,8 @@
         node.pending += 1
         self._hold(conn, node)
         if self._cold_age(node) is not None:
-            node.sent.append((self._now, conn.load))
-        self._out.append(Attempt(conn.request.id, node.id, 0.0))
+            node.sent.append((self._now, self._push(conn.load)))
+        self._out.append(Attempt(conn.request.id, node.id, self._timeout(conn)))
 
     def _lawful(self, conn: _Conn) -> list[_Node]:
         """The servers to which the four rules allow an attempt now."""
@@ -256,6 +261,14 @@
             nodes = [node for node in nodes if self._fits_cold(node, conn.load, room)]  # rule 4
         return nodes
 
+    def _timeout(self, conn: _Conn) -> float:
+        """Danger: a silent server eats the client's whole wait. Allow what set-ups take, and time for another."""
+        left = conn.deadline - self._now
+        learnt = self._setup_time + TIMEOUT_SPREADS * self._setup_spread
+        if not learnt or conn.attempts >= self._settings.max_attempts:
+            return left
+        return min(left, max(learnt, left / (self._settings.max_attempts + 1)))
+
     def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
         """Danger: past the fleet's capacity each further connection spoils all others: refuse it while harmless."""
         part = OVER_SHARE_PART if self._over_share(conn) else 1.0
@@ -319,8 +332,8 @@
 
     def _cold_room(self, nodes: list[_Node]) -> float:
         """What the middle warm peer carries for this balancer: our part of what the cold one can one day do."""
-        warm = sorted(node.total for node in nodes if self._cold_age(node) is None)
-        return float(warm[(len(warm) - 1) // 2]) if warm else self._mean_hint
+        warm = sorted(min(node.total, self._limit(node)) for node in nodes if self._cold_age(node) is None)
+        return (warm[(len(warm) - 1) // 2]) if warm else self._mean_hint
 
     def _fits_cold(self, node: _Node, load: int, peer: float) -> bool:
         """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
@@ -334,7 +347,11 @@
         while sent and sent[0][0] <= self._now - settings.fall_time:
             sent.popleft()
         budget = COLD_CARE * settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
-        return node.total + load <= peer * ramp and sum(each for _, each in sent) + load <= budget
+        return node.total + load <= peer * ramp and sum(each for _, each in sent) + self._push(load) <= budget
+
+    def _push(self, load: int) -> float:
+        """What a set-up counts for in the cold budget; small hints are often wrong, and only they would fit it."""
+        return max(load, self._mean_hint)
 
     # The roster.
 
