--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -30,7 +30,7 @@
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
-COLD_CARE = 0.2  # part of the cold budget used: peers may be overloaded, or twice as fast
+COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
 
