Groups: a server that holds none of a connection's group counts 4 mean hints more

Cause: each server pays once for a group, so spreading groups over all servers multiplied the work; the sum did not see it.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -25,6 +25,7 @@
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
+GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
 TIMEOUT_SPREADS = 4.0  # an attempt may take the mean set-up time and so many of its mean deviations
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands still so long after strain, then grows so much a second
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
@@ -34,15 +35,11 @@
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 
 
-def _total(node: _Node) -> int:
-    return node.total
-
-
 class _Node:
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "cell", "fails", "held", "id", "limit", "limit_at", "pending", "sent", "server", "state",
+        "aside_until", "cell", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent", "server", "state",
         "total", "zone",
     )
 
@@ -50,6 +47,7 @@
         self.id = server.id
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
+        self.groups: dict[str, list[int]] = {}  # of each group held here: its connections, and what it adds
         self.sent: deque[tuple[float, float]] = deque()  # while cold: what was sent here, and when
         self.fails = 0  # failed set-ups, less those that worked since
         self.aside_until = 0.0
@@ -64,11 +62,12 @@
 class _Conn:
     """A request that is held: being placed, out on an attempt, or standing as a connection."""
 
-    __slots__ = ("attempts", "deadline", "left", "load", "moving", "node", "ran", "request", "tried", "up")
+    __slots__ = ("attempts", "deadline", "group", "left", "load", "moving", "node", "ran", "request", "tried", "up")
 
     def __init__(self, request: Request, load: int, deadline: float) -> None:
         self.request, self.load, self.deadline = request, load, deadline
         self.attempts = 0
+        self.group = request.group  # None where groups share no work
         self.node: _Node | None = None  # where an attempt is out or the connection stands
         self.up = False
         self.moving = False  # its client was asked to come again
@@ -161,6 +160,10 @@
         if self._standing:
             self._standing[conn.request.tenant] += 1
         node.total += conn.load
+        if conn.group is not None:
+            entry = node.groups.setdefault(conn.group, [0, self._added(node, conn)])
+            node.total += 0 if entry[0] else entry[1]
+            entry[0] += 1
 
     def _release(self, conn: _Conn) -> None:
         """The connection has ended, or its set-up has failed: the sum falls at once."""
@@ -170,6 +173,21 @@
             if self._standing:
                 self._standing[conn.request.tenant] -= 1
             node.total -= conn.load
+            if conn.group is not None:
+                entry = node.groups[conn.group]
+                entry[0] -= 1
+                if not entry[0]:
+                    node.total -= node.groups.pop(conn.group)[1]
+
+    def _added(self, node: _Node, conn: _Conn) -> int:
+        """What the connection's group adds where none of it stands yet: a server pays once for all of a group."""
+        if conn.group is None or conn.group in node.groups:
+            return 0
+        return round(GROUP_LOADS * self._mean_hint)
+
+    def _would_be(self, node: _Node, conn: _Conn) -> int:
+        """The sum with the new connection in it."""
+        return node.total + conn.load + self._added(node, conn)
 
     def _on_up(self, event: ConnectionUp) -> None:
         conn = self._conns.get(event.request)
@@ -230,7 +248,7 @@
             return
         for exception in self._exceptions:
             candidates = exception(conn, candidates) or candidates
-        node = self._least(candidates)
+        node = self._least(conn, candidates)
         conn.attempts += 1
         conn.tried.add(node.id)
         node.pending += 1
@@ -273,7 +291,7 @@
         """Danger: past the fleet's capacity each further connection spoils all others: refuse it while harmless."""
         part = OVER_SHARE_PART if self._over_share(conn) else 1.0
         return self._harmless(conn) and not any(
-            node.total + conn.load <= self._limit(node) * part for node in self._healthy(conn, nodes))
+            self._would_be(node, conn) <= self._limit(node) * part for node in self._healthy(conn, nodes))
 
     def _over_share(self, conn: _Conn) -> bool:
         """Whether its tenant holds more of its quota than all tenants do of theirs; that knows no zone's skew."""
@@ -294,18 +312,22 @@
 
     def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: sums know nothing of speed, and a slow or crowded server keeps its full share past its capacity."""
-        return [node for node in nodes if node.total + conn.load <= self._limit(node)]
+        return [node for node in nodes if self._would_be(node, conn) <= self._limit(node)]
 
-    def _near(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+    def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: a crossing costs on each message, and sums closer than their own noise tell nothing apart."""
-        least = min(nodes, key=_total)
-        limit = least.total + HINT_NOISE * math.sqrt(sum(conn.load * conn.load for conn in least.held.values()))
-        return [node for node in nodes if node.zone == self._settings.zone and node.total <= limit]
-
-    def _least(self, nodes: list[_Node]) -> _Node:
-        """The design: the least sum; with the new hint on each side that hint decides nothing. Ties by lot."""
-        least = min(node.total for node in nodes)
-        ties = [node for node in nodes if node.total == least]
+        sums = [self._would_be(node, conn) for node in nodes]
+        least = min(sums)
+        held = nodes[sums.index(least)].held.values()
+        limit = least + HINT_NOISE * math.sqrt(sum(each.load * each.load for each in held))
+        zone = self._settings.zone
+        return [node for node, total in zip(nodes, sums, strict=True) if node.zone == zone and total <= limit]
+
+    def _least(self, conn: _Conn, nodes: list[_Node]) -> _Node:
+        """The design: the least sum with the new connection in it. Ties by lot."""
+        sums = [self._would_be(node, conn) for node in nodes]
+        least = min(sums)
+        ties = [node for node, total in zip(nodes, sums, strict=True) if total == least]
         return ties[0] if len(ties) == 1 else self._rng.choice(ties)
 
     def _give_up(self, conn: _Conn) -> None:
