--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -16,9 +16,34 @@
 from typing import Any
 
 from switchhub.decision.interface import (
-    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Move, Note,
-    Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged, RosterFailed,
-    RosterKind, Scope, Server, Settings, SetTimer, State, TimerFired, WatchRoster,
+    Action,
+    Attempt,
+    ClientLeft,
+    ConnectionAdopted,
+    ConnectionUp,
+    DelayTold,
+    Event,
+    Fail,
+    LoadTold,
+    Move,
+    Note,
+    Outcome,
+    ProbeAnswered,
+    Refuse,
+    Repeat,
+    Request,
+    RequestArrived,
+    Result,
+    RosterChanged,
+    RosterFailed,
+    RosterKind,
+    Scope,
+    Server,
+    SetTimer,
+    Settings,
+    State,
+    TimerFired,
+    WatchRoster,
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
--- a/switchhub/wirehost/codec.py
+++ b/switchhub/wirehost/codec.py
@@ -155,7 +155,12 @@
     name = "answer"
     _report(name, p[8])
     return api.Outcome(
-        p[2], _whole(name, "Copy", p[3]), p[4], _bool(name, "Final", p[5]), _number(name, "Spent", p[6]), _result(name, p[7])
+        p[2],
+        _whole(name, "Copy", p[3]),
+        p[4],
+        _bool(name, "Final", p[5]),
+        _number(name, "Spent", p[6]),
+        _result(name, p[7]),
     )
 
 
@@ -180,7 +185,18 @@
     "boot": ("I", "Entropy"),
     "halt": ("I",),
     "demand": ("I", "Ticket", "Class", "Budget", "UserGroup", "Effort", "Subject", "Group", "Opts"),
-    "adopted": ("I", "Ticket", "Class", "UserGroup", "Subject", "Budget", "Effort", "Group", "Opts", "Server"),
+    "adopted": (
+        "I",
+        "Ticket",
+        "Class",
+        "UserGroup",
+        "Subject",
+        "Budget",
+        "Effort",
+        "Group",
+        "Opts",
+        "Server",
+    ),
     "under_way": ("I", "Ticket", "Copy", "Spent", "Server"),
     "note": ("I", "Ticket", "Copy", "Server", "What", "Level"),
     "answer": ("I", "Ticket", "Copy", "Server", "Final", "Spent", "Status", "Report"),
--- a/switchhub/wirehost/loop.py
+++ b/switchhub/wirehost/loop.py
@@ -94,7 +94,9 @@
         print(f"switchhub: {error}", file=errors)
         return 2
     except UnicodeDecodeError as error:
-        print(f"switchhub: line {line_number + 1}: message (undecoded): field text: {error.reason}", file=errors)
+        print(
+            f"switchhub: line {line_number + 1}: message (undecoded): field text: {error.reason}", file=errors
+        )
         return 2
     return 0
 
--- a/switchhub/wirehost/settings.py
+++ b/switchhub/wirehost/settings.py
@@ -13,6 +13,7 @@
 _SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
 _DISCOVERY = {"ask": True, "push": False}
 _BOOLS = {"true": True, "false": False, "1": True, "0": False}
+_NONE: tuple[float, ...] = ()
 _T = TypeVar("_T")
 
 
@@ -90,8 +91,8 @@
 def read_settings(pairs: Mapping[str, str]) -> Settings:
     """The decision module's settings; a missing one that the rules need is an error."""
     read = _Reader(pairs)
-    aims = read.get("FamilyInfo.MessageAim", _numbers, ())
-    quotas = read.get("FamilyInfo.TenantQuotaConnections", _numbers, ())
+    aims = read.get("FamilyInfo.MessageAim", _numbers, _NONE)
+    quotas = read.get("FamilyInfo.TenantQuotaConnections", _numbers, _NONE)
     must_ask = read.need("Discovery", _DISCOVERY.__getitem__)
     fleet_size = read.need("FleetSize", _count)
     if fleet_size < 1:
