--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -4,7 +4,7 @@
 its start, and that still stand. A new connection goes where sum + its own hint is smallest.
 
 One path: lawful servers -> exceptions narrow the candidates -> the least sum decides. An exception that would
-leave nobody is passed over; a rule never is. Times are milliseconds, loads whole microseconds of work a second.
+leave nobody is passed over; a rule never is. Times are milliseconds, loads microseconds of work a second.
 """
 
 from __future__ import annotations
@@ -52,7 +52,7 @@
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
 TIMEOUT_SPREADS = 4.0  # an attempt may take the mean set-up time and so many of its mean deviations
-LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands still so long after strain, then grows so much a second
+LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands so long after strain, then grows so a second
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
@@ -64,8 +64,8 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "aside_until", "cell", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent", "server", "state",
-        "total", "zone",
+        "aside_until", "cell", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent", "server",
+        "state", "total", "zone",
     )
 
     def __init__(self, server: Server) -> None:
@@ -87,7 +87,9 @@
 class _Conn:
     """A request that is held: being placed, out on an attempt, or standing as a connection."""
 
-    __slots__ = ("attempts", "deadline", "group", "left", "load", "moving", "node", "ran", "request", "tried", "up")
+    __slots__ = (
+        "attempts", "deadline", "group", "left", "load", "moving", "node", "ran", "request", "tried", "up",
+    )
 
     def __init__(self, request: Request, load: int, deadline: float) -> None:
         self.request, self.load, self.deadline = request, load, deadline
@@ -205,7 +207,7 @@
                     node.total -= node.groups.pop(conn.group)[1]
 
     def _added(self, node: _Node, conn: _Conn) -> int:
-        """What the connection's group adds where none of it stands yet: a server pays once for all of a group."""
+        """Danger: each server that holds any of a group pays for it once, and the sums do not see that."""
         if conn.group is None or conn.group in node.groups:
             return 0
         return round(GROUP_LOADS * self._mean_hint)
@@ -305,7 +307,7 @@
         return nodes
 
     def _timeout(self, conn: _Conn) -> float:
-        """Danger: a silent server eats the client's whole wait. Allow what set-ups take, and time for another."""
+        """Danger: a silent server eats the client's whole wait. Leave time for another one."""
         left = conn.deadline - self._now
         learnt = self._setup_time + TIMEOUT_SPREADS * self._setup_spread
         if not learnt or conn.attempts >= self._settings.max_attempts:
@@ -313,19 +315,20 @@
         return min(left, max(learnt, left / (self._settings.max_attempts + 1)))
 
     def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
-        """Danger: past the fleet's capacity each further connection spoils all others: refuse it while harmless."""
+        """Danger: past the fleet's capacity each further connection spoils all others. Refuse while harmless."""
         part = OVER_SHARE_PART if self._over_share(conn) else 1.0
         return self._harmless(conn) and not any(
             self._would_be(node, conn) <= self._limit(node) * part for node in self._healthy(conn, nodes))
 
     def _over_share(self, conn: _Conn) -> bool:
-        """Whether its tenant holds more of its quota than all tenants do of theirs; that knows no zone's skew."""
+        """Whether its tenant holds more of its quota than all tenants do of theirs, whatever our part of them."""
         if not self._quota:
             return False
         tenant = conn.request.tenant
-        return self._standing[tenant] * self._quota > self._settings.tenants[tenant].connections * sum(self._standing)
+        share = self._settings.tenants[tenant].connections / self._quota
+        return self._standing[tenant] > share * sum(self._standing)
 
-    # The exceptions, in their order. Each returns the candidates that remain; nobody left, and it is passed over.
+    # The exceptions, in their order. Each returns the candidates that remain.
 
     def _untried(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: a failed set-up lowers that server's sum, and the next attempt goes back to it."""
@@ -333,14 +336,15 @@
 
     def _healthy(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: a sick server answers fast or holds nothing, so its sum is least and it draws everybody."""
-        return [node for node in nodes if not node.fails or (node.aside_until <= self._now and not node.pending)]
+        now = self._now
+        return [node for node in nodes if not node.fails or (node.aside_until <= now and not node.pending)]
 
     def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: sums know nothing of speed, and a slow or crowded server keeps its full share past its capacity."""
+        """Danger: sums know no speed; a slow or crowded server keeps its full share past its capacity."""
         return [node for node in nodes if self._would_be(node, conn) <= self._limit(node)]
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: a crossing costs on each message, and sums closer than their own noise tell nothing apart."""
+        """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
         sums = [self._would_be(node, conn) for node in nodes]
         least = min(sums)
         held = nodes[sums.index(least)].held.values()
@@ -378,9 +382,9 @@
         return max(age, 0.0) if born and age < self._settings.cold_time else None
 
     def _cold_room(self, nodes: list[_Node]) -> float:
-        """What the middle warm peer carries for this balancer: our part of what the cold one can one day do."""
+        """What the middle warm peer carries for this balancer: our part of what the cold one will do."""
         warm = sorted(min(node.total, self._limit(node)) for node in nodes if self._cold_age(node) is None)
-        return (warm[(len(warm) - 1) // 2]) if warm else self._mean_hint
+        return warm[(len(warm) - 1) // 2] if warm else self._mean_hint
 
     def _fits_cold(self, node: _Node, load: int, peer: float) -> bool:
         """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
@@ -397,7 +401,7 @@
         return node.total + load <= peer * ramp and sum(each for _, each in sent) + self._push(load) <= budget
 
     def _push(self, load: int) -> float:
-        """What a set-up counts for in the cold budget; small hints are often wrong, and only they would fit it."""
+        """What a set-up counts for in the cold budget: small hints are often wrong, and only they would fit."""
         return max(load, self._mean_hint)
 
     # The roster.
@@ -423,7 +427,7 @@
             del self._nodes[node.id]
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
-        """Danger: a list unasked for too long counts as told. Ask again well inside that time, not in step."""
+        """Danger: a list unasked for too long counts as told. Ask again well before, not in step."""
         self._asks_failed += 1
         if self._watching or self._asks_failed == 1:
             self._out.append(Note("roster lost, asking again"))
@@ -435,7 +439,7 @@
     # Notes, probes and timers.
 
     def _on_load(self, event: LoadTold) -> None:
-        """Danger: a hint is the usual load and rough; where the present load is told, that counts in its place."""
+        """Danger: a hint is rough and usual; where the present load is told, that counts in its place."""
         conn = self._conns.get(event.request)
         if conn is not None and conn.node is not None and event.attempt == conn.attempts - 1:
             load = round(event.load)
@@ -443,7 +447,7 @@
             conn.load = load
 
     def _on_delay(self, event: DelayTold) -> None:
-        """Danger: a slow or crowded server keeps its share. What it holds when it tells of strain is its limit."""
+        """Danger: a crowded server keeps its share. What it holds when it tells of strain is its limit."""
         node = self._nodes.get(event.server)
         if node is None:
             return
--- a/switchhub/wirehost/errors.py
+++ b/switchhub/wirehost/errors.py
@@ -14,4 +14,5 @@
         self.line = 0
 
     def __str__(self) -> str:
+        """Where it is and what is wrong, in one line."""
         return f"line {self.line}: message {self.message}: field {self.field}: {self.problem}"
