--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -16,90 +16,56 @@
 from typing import Any
 
 from switchhub.decision.interface import (
-    Action,
-    Attempt,
-    ClientLeft,
-    ConnectionAdopted,
-    ConnectionUp,
-    DelayTold,
-    Event,
-    Fail,
-    LoadTold,
-    Move,
-    Note,
-    Outcome,
-    ProbeAnswered,
-    Refuse,
-    Repeat,
-    Request,
-    RequestArrived,
-    Result,
-    RosterChanged,
-    RosterFailed,
-    RosterKind,
-    Scope,
-    Server,
-    SetTimer,
-    Settings,
-    State,
-    TimerFired,
-    WatchRoster,
+    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Move,
+    Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged,
+    RosterFailed, RosterKind, Scope, Server, Settings, SetTimer, State, TimerFired, WatchRoster,
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
+NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
 SICK = frozenset({Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET})  # full is not sick
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
-STRAIN = 1 / 3  # part of the shortest message aim that tells strain
-GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
-TIMEOUT_SPREADS = 4.0  # an attempt may take the mean set-up time and so many of its mean deviations
-LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands so long after strain, then grows so a second
-OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
-MOVE_PART = 0.1  # part of a strained server's sum that is moved off at one news of its strain
+TIMEOUT_SPREADS, SETUP_MEMORY = 4.0, 1 / 16  # mean deviations that a set-up may take over the mean
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
+GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
-NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # proof that an attempt did not run
+STRAIN = 1 / 3  # part of the shortest message aim that tells strain
+LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands so long after strain, then grows so much a second
+LIMIT_CUT = 0.1  # part of the limit that one news of missed aims takes, and that moves off
+OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
 class _Node:
     """What this balancer knows of one server."""
 
-    __slots__ = (
-        "aside_until", "cell", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent", "server",
-        "state", "total", "zone",
-    )
+    __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent",
+                 "server", "total")
 
     def __init__(self, server: Server) -> None:
-        self.id = server.id
+        self.id, self.server = server.id, server
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
         self.groups: dict[str, list[int]] = {}  # of each group held here: its connections, and what it adds
-        self.sent: deque[tuple[float, float]] = deque()  # while cold: what was sent here, and when
-        self.fails = 0  # failed set-ups, less those that worked since
-        self.aside_until = 0.0
         self.pending = 0  # set-ups under way
-        self.limit, self.limit_at = math.inf, 0.0  # what the sum may rise to, by strain told last then
-        self.update(server)
-
-    def update(self, server: Server) -> None:
-        self.server, self.state, self.zone, self.cell = server, server.state, server.zone, server.cell
+        self.fails, self.aside_until = 0, 0.0  # failed set-ups less later good ones; aside till then
+        self.limit, self.limit_at = math.inf, 0.0  # what the sum may rise to, as strain told last then
+        self.sent: deque[tuple[float, float]] = deque()  # while cold: when what was sent here
 
 
 class _Conn:
     """A request that is held: being placed, out on an attempt, or standing as a connection."""
 
-    __slots__ = (
-        "attempts", "deadline", "group", "left", "load", "moving", "node", "ran", "request", "tried", "up",
-    )
+    __slots__ = ("attempts", "deadline", "group", "kind", "left", "load", "moving", "node", "ran", "request",
+                 "tried", "up")
 
-    def __init__(self, request: Request, load: int, deadline: float) -> None:
+    def __init__(self, request: Request, settings: Settings, load: int, deadline: float) -> None:
         self.request, self.load, self.deadline = request, load, deadline
+        self.kind = settings.classes[request.class_index]
+        self.group = request.group if settings.groups_share_work else None
         self.attempts = 0
-        self.group = request.group  # None where groups share no work
-        self.node: _Node | None = None  # where an attempt is out or the connection stands
-        self.up = False
-        self.moving = False  # its client was asked to come again
-        self.left = False  # the client has gone; only the attempt's end is awaited
         self.tried: set[str] = set()
+        self.node: _Node | None = None  # where an attempt is out or the connection stands
+        self.up = self.moving = self.left = False  # stands; asked to move; client has left
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run: where, when sent
 
 
@@ -113,37 +79,28 @@
         self._out: list[Action] = []
         self._nodes: dict[str, _Node] = {}
         self._conns: dict[str, _Conn] = {}
-        self._mean_hint = 0.0
-        self._setup_time = self._setup_spread = 0.0  # of set-ups that worked: mean, and mean deviation
-        self._watching = False
-        self._asks_failed = 0
-        self._exceptions = (self._healthy, self._untried, self._within, self._near)
-        self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
-        self._strain = STRAIN * self._least_aim
         self._standing = [0] * len(settings.tenants)  # connections of each tenant
         quota = sum(tenant.connections for tenant in settings.tenants)
         self._quota = quota if math.isfinite(quota) else 0.0
+        self._mean_hint = 0.0
+        self._setup_time = self._setup_spread = 0.0  # of set-ups that worked: mean, and mean deviation
+        self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
+        self._watching, self._asks_failed = False, 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
+        self._exceptions = (self._healthy, self._untried, self._within, self._near)
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
-            RequestArrived: self._on_request,
-            ConnectionAdopted: self._on_adopted,
-            ConnectionUp: self._on_up,
-            Outcome: self._on_outcome,
-            ClientLeft: self._on_left,
-            LoadTold: self._on_load,
-            DelayTold: self._on_delay,
-            RosterChanged: self._on_roster,
-            RosterFailed: self._on_roster_failed,
-            TimerFired: self._on_timer,
-            ProbeAnswered: self._on_probe,
+            RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
+            Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
+            DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
+            TimerFired: self._on_timer, ProbeAnswered: self._on_probe,
         }
 
     def start(self, now: float) -> list[Action]:
         """The first actions, before any event."""
         self._now, self._out = now, []
         if self._settings.must_ask_roster:
-            self._ask_roster()
+            self._out.append(WatchRoster())
         return self._out
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -160,15 +117,15 @@
 
     def _on_request(self, event: RequestArrived) -> None:
         request = event.request
-        conn = _Conn(request, self._load_of(request), self._now + request.budget)
+        conn = _Conn(request, self._settings, self._load_of(request), self._now + request.budget)
         self._conns[request.id] = conn
         self._place(conn)
 
     def _on_adopted(self, event: ConnectionAdopted) -> None:
-        conn = _Conn(event.request, self._load_of(event.request), float("inf"))
         node = self._nodes.get(event.server)
         if node is None:  # it stands somewhere that our list does not name: count it, send nothing there
             node = self._nodes[event.server] = _Node(Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0))
+        conn = _Conn(event.request, self._settings, self._load_of(event.request), math.inf)
         conn.attempts, conn.up = 1, True
         self._conns[event.request.id] = conn
         self._hold(conn, node)
@@ -177,73 +134,64 @@
         """The hint, or for a missing one the mean hint lately seen."""
         if request.hint is None:
             return round(self._mean_hint)
-        step = HINT_MEMORY if self._mean_hint else 1.0
-        self._mean_hint += step * (request.hint - self._mean_hint)
+        self._mean_hint += (HINT_MEMORY if self._mean_hint else 1.0) * (request.hint - self._mean_hint)
         return round(request.hint)
 
     def _hold(self, conn: _Conn, node: _Node) -> None:
         conn.node = node
         node.held[conn.request.id] = conn
+        added = self._added(node, conn)
+        node.total += conn.load + added
+        if conn.group is not None:
+            node.groups.setdefault(conn.group, [0, added])[0] += 1
         if self._standing:
             self._standing[conn.request.tenant] += 1
-        node.total += conn.load
-        if conn.group is not None:
-            entry = node.groups.setdefault(conn.group, [0, self._added(node, conn)])
-            node.total += 0 if entry[0] else entry[1]
-            entry[0] += 1
 
-    def _release(self, conn: _Conn) -> None:
+    def _release(self, conn: _Conn, node: _Node) -> None:
         """The connection has ended, or its set-up has failed: the sum falls at once."""
-        node, conn.node = conn.node, None
-        if node is not None:
-            del node.held[conn.request.id]
-            if self._standing:
-                self._standing[conn.request.tenant] -= 1
-            node.total -= conn.load
-            if conn.group is not None:
-                entry = node.groups[conn.group]
-                entry[0] -= 1
-                if not entry[0]:
-                    node.total -= node.groups.pop(conn.group)[1]
-
-    def _added(self, node: _Node, conn: _Conn) -> int:
-        """Danger: each server that holds any of a group pays for it once, and the sums do not see that."""
-        if conn.group is None or conn.group in node.groups:
-            return 0
-        return round(GROUP_LOADS * self._mean_hint)
+        conn.node = None
+        del node.held[conn.request.id]
+        node.total -= conn.load
+        if conn.group is not None:
+            entry = node.groups[conn.group]
+            entry[0] -= 1
+            if not entry[0]:
+                node.total -= node.groups.pop(conn.group)[1]
+        if self._standing:
+            self._standing[conn.request.tenant] -= 1
 
-    def _would_be(self, node: _Node, conn: _Conn) -> int:
-        """The sum with the new connection in it."""
-        return node.total + conn.load + self._added(node, conn)
+    def _live(self, request: str, attempt: int) -> _Conn | None:
+        """The held request whose present attempt this is; news of any other is passed over."""
+        conn = self._conns.get(request)
+        return conn if conn is not None and conn.node is not None and attempt == conn.attempts - 1 else None
 
     def _on_up(self, event: ConnectionUp) -> None:
-        conn = self._conns.get(event.request)
-        if conn is None or conn.node is None or conn.up or event.attempt != conn.attempts - 1:
+        conn = self._live(event.request, event.attempt)
+        if conn is None or conn.node is None or conn.up:
             return
         conn.up = True
-        gain = 1 / 16 if self._setup_time else 1.0
+        gain = SETUP_MEMORY if self._setup_time else 1.0
         self._setup_spread += gain * (abs(event.elapsed - self._setup_time) - self._setup_spread)
         self._setup_time += gain * (event.elapsed - self._setup_time)
         node = conn.node
         node.pending -= 1
         if node.fails:
-            node.fails -= 1
-            node.aside_until = self._now
+            node.fails, node.aside_until = node.fails - 1, self._now
             if not node.fails:
                 self._out.append(Note(f"server {node.id} serves again"))
 
     def _on_outcome(self, event: Outcome) -> None:
-        conn = self._conns.get(event.request)
-        if conn is None or conn.node is None or event.attempt != conn.attempts - 1:
+        conn = self._live(event.request, event.attempt)
+        if conn is None or conn.node is None:
             return
         node, result = conn.node, event.result
-        self._release(conn)
+        self._release(conn, node)
         if not conn.up:
             node.pending -= 1
             if result in SICK:
                 self._set_aside(node, result)
             elif result is Result.FULL:  # not sick: it takes no more than it holds
-                self._strain_told(node, 1.0)
+                self._strained(node, 1.0)
         if event.closed or conn.left or conn.up:
             del self._conns[event.request]
             return
@@ -251,14 +199,6 @@
             conn.ran = (node.server, self._now - event.elapsed)
         self._place(conn)
 
-    def _set_aside(self, node: _Node, result: Result) -> None:
-        """A failed set-up: stay away for a while that grows with each further one."""
-        if not node.fails:
-            self._out.append(Note(f"server {node.id} set aside: {result.value}"))
-        node.fails = min(node.fails + 1, BACKOFF_STEPS)
-        wait = BACKOFF_FIRST * 2 ** (node.fails - 1)
-        node.aside_until = max(node.aside_until, self._now + wait * self._rng.uniform(0.5, 1.0))
-
     def _on_left(self, event: ClientLeft) -> None:
         conn = self._conns.get(event.request)
         if conn is not None:
@@ -281,31 +221,44 @@
         node.pending += 1
         self._hold(conn, node)
         if self._cold_age(node) is not None:
-            node.sent.append((self._now, self._push(conn.load)))
+            node.sent.append((self._now, self._push(conn)))
         self._out.append(Attempt(conn.request.id, node.id, self._timeout(conn)))
 
     def _lawful(self, conn: _Conn) -> list[_Node]:
         """The servers to which the four rules allow an attempt now."""
         if conn.attempts >= self._settings.max_attempts or self._now >= conn.deadline:
             return []
-        nodes = [node for node in self._nodes.values() if node.state is State.READY]  # rule 3
-        if conn.ran is not None:  # rule 2
-            kind = self._settings.classes[conn.request.class_index]
+        nodes = [node for node in self._nodes.values() if node.server.state is State.READY]  # rule 3
+        if conn.ran is not None and conn.kind.repeat is not Repeat.SAFE:  # rule 2
             where, sent_at = conn.ran
-            if kind.repeat is Repeat.UNSAFE:
+            if conn.kind.repeat is Repeat.UNSAFE or self._now - sent_at >= conn.kind.window:
                 return []
-            if kind.repeat is Repeat.KEYED:
-                if self._now - sent_at >= kind.window:
-                    return []
-                if kind.scope is Scope.ZONE:
-                    nodes = [node for node in nodes if node.zone == where.zone]
-                elif kind.scope is Scope.CELL:
-                    nodes = [node for node in nodes if node.cell == where.cell]
-        if any(self._cold_age(node) is not None for node in nodes):
-            room = self._cold_room(nodes)
-            nodes = [node for node in nodes if self._fits_cold(node, conn.load, room)]  # rule 4
+            if conn.kind.scope is Scope.ZONE:
+                nodes = [node for node in nodes if node.server.zone == where.zone]
+            elif conn.kind.scope is Scope.CELL:
+                nodes = [node for node in nodes if node.server.cell == where.cell]
+        if any(self._cold_age(node) is not None for node in nodes):  # rule 4
+            peer = self._warm_peer()
+            nodes = [node for node in nodes if self._fits_cold(node, conn, peer)]
         return nodes
 
+    def _least(self, conn: _Conn, nodes: list[_Node]) -> _Node:
+        """The design: the least sum with the new connection in it. Ties by lot."""
+        sums = [self._would_be(node, conn) for node in nodes]
+        least = min(sums)
+        ties = [node for node, total in zip(nodes, sums, strict=True) if total == least]
+        return ties[0] if len(ties) == 1 else self._rng.choice(ties)
+
+    def _would_be(self, node: _Node, conn: _Conn) -> int:
+        """The sum with the new connection in it."""
+        return node.total + conn.load + self._added(node, conn)
+
+    def _added(self, node: _Node, conn: _Conn) -> int:
+        """Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so."""
+        if conn.group is None or conn.group in node.groups:
+            return 0
+        return round(GROUP_LOADS * self._mean_hint)
+
     def _timeout(self, conn: _Conn) -> float:
         """Danger: a silent server eats the client's whole wait. Leave time for another one."""
         left = conn.deadline - self._now
@@ -314,31 +267,29 @@
             return left
         return min(left, max(learnt, left / (self._settings.max_attempts + 1)))
 
-    def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
-        """Danger: past the fleet's capacity each further connection spoils all others. Refuse while harmless."""
-        part = OVER_SHARE_PART if self._over_share(conn) else 1.0
-        return self._harmless(conn) and not any(
-            self._would_be(node, conn) <= self._limit(node) * part for node in self._healthy(conn, nodes))
-
-    def _over_share(self, conn: _Conn) -> bool:
-        """Whether its tenant holds more of its quota than all tenants do of theirs, whatever our part of them."""
-        if not self._quota:
-            return False
-        tenant = conn.request.tenant
-        share = self._settings.tenants[tenant].connections / self._quota
-        return self._standing[tenant] > share * sum(self._standing)
+    def _give_up(self, conn: _Conn) -> None:
+        """The final answer, at once: a refusal where trying again is harmless, else a failure."""
+        del self._conns[conn.request.id]
+        wait = self._settings.retry_after_max
+        self._out.append(Refuse(conn.request.id, wait) if self._harmless(conn) else Fail(conn.request.id))
 
-    # The exceptions, in their order. Each returns the candidates that remain.
+    def _harmless(self, conn: _Conn) -> bool:
+        """Rule 2: whether the client may be told that trying again is harmless."""
+        kind = conn.kind
+        return conn.ran is None or kind.repeat is Repeat.SAFE or (
+            kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL)
 
-    def _untried(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: a failed set-up lowers that server's sum, and the next attempt goes back to it."""
-        return [node for node in nodes if node.id not in conn.tried] if conn.tried else nodes
+    # The exceptions, in their order. Each returns the candidates that remain; nobody left: it is passed over.
 
     def _healthy(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: a sick server answers fast or holds nothing, so its sum is least and it draws everybody."""
         now = self._now
         return [node for node in nodes if not node.fails or (node.aside_until <= now and not node.pending)]
 
+    def _untried(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: a failed set-up lowers that server's sum, and the next attempt goes back to it."""
+        return [node for node in nodes if node.id not in conn.tried] if conn.tried else nodes
+
     def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: sums know no speed; a slow or crowded server keeps its full share past its capacity."""
         return [node for node in nodes if self._would_be(node, conn) <= self._limit(node)]
@@ -349,65 +300,98 @@
         least = min(sums)
         held = nodes[sums.index(least)].held.values()
         limit = least + HINT_NOISE * math.sqrt(sum(each.load * each.load for each in held))
-        zone = self._settings.zone
-        return [node for node, total in zip(nodes, sums, strict=True) if node.zone == zone and total <= limit]
+        close = [node for node, total in zip(nodes, sums, strict=True) if total <= limit]
+        return [node for node in close if node.server.zone == self._settings.zone]
 
-    def _least(self, conn: _Conn, nodes: list[_Node]) -> _Node:
-        """The design: the least sum with the new connection in it. Ties by lot."""
-        sums = [self._would_be(node, conn) for node in nodes]
-        least = min(sums)
-        ties = [node for node, total in zip(nodes, sums, strict=True) if total == least]
-        return ties[0] if len(ties) == 1 else self._rng.choice(ties)
+    # Overload and strain.
 
-    def _give_up(self, conn: _Conn) -> None:
-        """The final answer, at once: a refusal where trying again is harmless, else a failure."""
-        del self._conns[conn.request.id]
-        if self._harmless(conn):
-            self._out.append(Refuse(conn.request.id, self._settings.retry_after_max))
+    def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
+        """Danger: past the fleet's capacity each further connection spoils the others. Refuse if harmless."""
+        part = OVER_SHARE_PART if self._over_share(conn) else 1.0
+        return self._harmless(conn) and not any(
+            self._would_be(node, conn) <= self._limit(node) * part for node in self._healthy(conn, nodes))
+
+    def _over_share(self, conn: _Conn) -> bool:
+        """Whether its tenant holds more of its quota than all tenants do of theirs, whatever our part."""
+        if not self._quota:
+            return False
+        tenant = conn.request.tenant
+        part = self._settings.tenants[tenant].connections / self._quota
+        return self._standing[tenant] > part * sum(self._standing)
+
+    def _on_delay(self, event: DelayTold) -> None:
+        """Danger: a crowded server keeps its share. What it holds when it tells of strain is its limit."""
+        node = self._nodes.get(event.server)
+        if node is None:
+            return
+        if event.delay < STRAIN * self._least_aim:
+            node.limit_at = self._now - LIMIT_HOLD  # calm again: the limit may rise from now on
+        elif event.delay < self._least_aim:
+            self._strained(node, 1.0)
         else:
-            self._out.append(Fail(conn.request.id))
+            self._strained(node, 1 - LIMIT_CUT)
+            self._relieve(node)
 
-    def _harmless(self, conn: _Conn) -> bool:
-        """Rule 2: whether the client may be told that trying again is harmless."""
-        kind = self._settings.classes[conn.request.class_index]
-        return conn.ran is None or kind.repeat is Repeat.SAFE or (
-            kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL)
+    def _strained(self, node: _Node, part: float) -> None:
+        node.limit, node.limit_at = min(self._limit(node), node.total) * part, self._now
+
+    def _limit(self, node: _Node) -> float:
+        """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
+        calm = (self._now - node.limit_at - LIMIT_HOLD) / 1000
+        return node.limit if calm <= 0 else node.limit + calm * (LIMIT_GROWTH * node.limit + self._mean_hint)
+
+    def _relieve(self, node: _Node) -> None:
+        """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
+        excess = node.total - node.limit - sum(conn.load for conn in node.held.values() if conn.moving)
+        for conn in sorted(node.held.values(), key=self._value):
+            if conn.up and not conn.moving and conn.load <= excess:
+                conn.moving = True
+                excess -= conn.load
+                self._out.append(Move(conn.request.id))
+
+    def _value(self, conn: _Conn) -> float:
+        """What a unit of its work is worth."""
+        return conn.kind.worth * (self._settings.over_share_worth if self._over_share(conn) else 1.0)
+
+    def _set_aside(self, node: _Node, result: Result) -> None:
+        """A failed set-up: stay away for a while that grows with each further one."""
+        if not node.fails:
+            self._out.append(Note(f"server {node.id} set aside: {result.value}"))
+        node.fails = min(node.fails + 1, BACKOFF_STEPS)
+        wait = BACKOFF_FIRST * 2 ** (node.fails - 1) * self._rng.uniform(0.5, 1.0)
+        node.aside_until = max(node.aside_until, self._now + wait)
 
     # Rule 4: a server that has just started.
 
     def _cold_age(self, node: _Node) -> float | None:
         """Time since the start of a server that may still be cold."""
-        born = node.server.born
-        age = self._now - born
-        return max(age, 0.0) if born and age < self._settings.cold_time else None
+        age = self._now - node.server.born
+        return max(age, 0.0) if node.server.born and age < self._settings.cold_time else None
 
-    def _cold_room(self, nodes: list[_Node]) -> float:
-        """What the middle warm peer carries for this balancer: our part of what the cold one will do."""
-        warm = sorted(min(node.total, self._limit(node)) for node in nodes if self._cold_age(node) is None)
+    def _warm_peer(self) -> float:
+        """What the middle warm peer carries for this balancer: our part of what a cold one will do."""
+        warm = sorted(min(node.total, self._limit(node)) for node in self._nodes.values()
+                      if node.server.state is State.READY and self._cold_age(node) is None)
         return warm[(len(warm) - 1) // 2] if warm else self._mean_hint
 
-    def _fits_cold(self, node: _Node, load: int, peer: float) -> bool:
+    def _fits_cold(self, node: _Node, conn: _Conn, peer: float) -> bool:
         """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
         age = self._cold_age(node)
         if age is None:
             return True
-        settings = self._settings
-        ramp = age / settings.cold_time
-        share = settings.cold_share + (1 - settings.cold_share) * ramp
-        sent = node.sent
+        settings, sent, push = self._settings, node.sent, self._push(conn)
         while sent and sent[0][0] <= self._now - settings.fall_time:
             sent.popleft()
+        ramp = age / settings.cold_time
+        share = settings.cold_share + (1 - settings.cold_share) * ramp
         budget = COLD_CARE * settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
-        return node.total + load <= peer * ramp and sum(each for _, each in sent) + self._push(load) <= budget
-
-    def _push(self, load: int) -> float:
-        """What a set-up counts for in the cold budget: small hints are often wrong, and only they would fit."""
-        return max(load, self._mean_hint)
+        return node.total + conn.load <= peer * ramp and sum(each for _, each in sent) + push <= budget
 
-    # The roster.
+    def _push(self, conn: _Conn) -> float:
+        """What a set-up counts for in the cold budget: small hints often err, and only they would fit."""
+        return max(conn.load, self._mean_hint)
 
-    def _ask_roster(self) -> None:
-        self._out.append(WatchRoster())
+    # The roster, notes and timers.
 
     def _on_roster(self, event: RosterChanged) -> None:
         if event.kind is not RosterKind.REMEMBERED:
@@ -416,79 +400,36 @@
             named = {server.id for server in event.servers}
             for node in self._nodes.values():
                 if node.id not in named:
-                    node.state = State.GONE
+                    node.server = node.server._replace(state=State.GONE)
         for server in event.servers:
             known = self._nodes.get(server.id)
             if known is None:
                 self._nodes[server.id] = _Node(server)
             else:
-                known.update(server)
-        for node in [node for node in self._nodes.values() if node.state is State.GONE and not node.held]:
-            del self._nodes[node.id]
+                known.server = server
+        self._nodes = {node.id: node for node in self._nodes.values()
+                       if node.server.state is not State.GONE or node.held}
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
-        """Danger: a list unasked for too long counts as told. Ask again well before, not in step."""
+        """Danger: a list unasked for too long counts as told. Ask again well before that, not in step."""
         self._asks_failed += 1
         if self._watching or self._asks_failed == 1:
             self._out.append(Note("roster lost, asking again"))
         self._watching = False
         longest = self._settings.ask_within / 4
-        wait = min(longest, longest / 16 * 2 ** min(self._asks_failed - 1, 4))
-        self._after(wait * self._rng.uniform(0.5, 1.0), self._ask_roster)
-
-    # Notes, probes and timers.
+        wait = longest / 2 ** max(0, 5 - self._asks_failed)
+        self._after(wait * self._rng.uniform(0.5, 1.0), lambda: self._out.append(WatchRoster()))
 
     def _on_load(self, event: LoadTold) -> None:
         """Danger: a hint is rough and usual; where the present load is told, that counts in its place."""
-        conn = self._conns.get(event.request)
-        if conn is not None and conn.node is not None and event.attempt == conn.attempts - 1:
+        conn = self._live(event.request, event.attempt)
+        if conn is not None and conn.node is not None:
             load = round(event.load)
             conn.node.total += load - conn.load
             conn.load = load
 
-    def _on_delay(self, event: DelayTold) -> None:
-        """Danger: a crowded server keeps its share. What it holds when it tells of strain is its limit."""
-        node = self._nodes.get(event.server)
-        if node is None:
-            return
-        if event.delay < self._strain:
-            node.limit_at = self._now - LIMIT_HOLD  # calm again: the limit may rise from now on
-            return
-        heavy = event.delay >= self._least_aim
-        self._strain_told(node, 1 - MOVE_PART if heavy else 1.0)
-        if heavy:
-            self._relieve(node)
-
-    def _strain_told(self, node: _Node, part: float) -> None:
-        node.limit = min(self._limit(node), node.total) * part
-        node.limit_at = self._now
-
-    def _limit(self, node: _Node) -> float:
-        """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
-        calm = self._now - node.limit_at - LIMIT_HOLD
-        if calm <= 0:
-            return node.limit
-        return node.limit + calm * (LIMIT_GROWTH * node.limit + self._mean_hint) / 1000
-
-    def _relieve(self, node: _Node) -> None:
-        """Danger: a strained server stays so while its connections last. Move what is over its limit."""
-        excess = node.total - node.limit
-        for conn in sorted(node.held.values(), key=self._value):
-            if conn.moving:
-                excess -= conn.load
-        for conn in sorted(node.held.values(), key=self._value):
-            if conn.up and not conn.moving and conn.load <= excess:
-                conn.moving = True
-                excess -= conn.load
-                self._out.append(Move(conn.request.id))
-
-    def _value(self, conn: _Conn) -> float:
-        """What a unit of its work is worth."""
-        worth = self._settings.classes[conn.request.class_index].worth
-        return worth * (self._settings.over_share_worth if self._over_share(conn) else 1.0)
-
     def _on_probe(self, event: ProbeAnswered) -> None:
-        pass
+        """No probe is sent: told delays say the same, for nothing."""
 
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         self._last_token += 1
