--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -30,8 +30,8 @@
 GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
-LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.05  # a limit stands so long after strain, then grows so much a second
-LIMIT_CUT = 0.1  # part of the limit that one news of missed aims takes, and that moves off
+LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
+LIMIT_CUT = 0.2  # part of the limit that one news of missed aims takes, and that moves off
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
