--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -27,7 +27,7 @@
 BACKOFF_FIRST, BACKOFF_STEPS = 250.0, 6  # wait after a failed set-up, and how often it doubles at most
 TIMEOUT_SPREADS, SETUP_MEMORY = 4.0, 1 / 16  # mean deviations that a set-up may take over the mean
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
-GROUP_LOADS = 4.0  # what a group adds to a server that holds none of it, in mean hints
+GROUP_LOADS = 8.0  # what a group adds to a server that holds none of it, in mean hints
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
@@ -45,7 +45,7 @@
         self.id, self.server = server.id, server
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
-        self.groups: dict[str, list[int]] = {}  # of each group held here: its connections, and what it adds
+        self.groups: Counter[str] = Counter()  # connections of each group held here
         self.pending = 0  # set-ups under way
         self.fails, self.aside_until = 0, 0.0  # failed set-ups less later good ones; aside till then
         self.limit, self.limit_at = math.inf, 0.0  # what the sum may rise to, as strain told last then
@@ -140,10 +140,9 @@
     def _hold(self, conn: _Conn, node: _Node) -> None:
         conn.node = node
         node.held[conn.request.id] = conn
-        added = self._added(node, conn)
-        node.total += conn.load + added
+        node.total += conn.load
         if conn.group is not None:
-            node.groups.setdefault(conn.group, [0, added])[0] += 1
+            node.groups[conn.group] += 1
         if self._standing:
             self._standing[conn.request.tenant] += 1
 
@@ -153,10 +152,9 @@
         del node.held[conn.request.id]
         node.total -= conn.load
         if conn.group is not None:
-            entry = node.groups[conn.group]
-            entry[0] -= 1
-            if not entry[0]:
-                node.total -= node.groups.pop(conn.group)[1]
+            node.groups[conn.group] -= 1
+            if not node.groups[conn.group]:
+                del node.groups[conn.group]
         if self._standing:
             self._standing[conn.request.tenant] -= 1
 
@@ -255,7 +253,7 @@
 
     def _added(self, node: _Node, conn: _Conn) -> int:
         """Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so."""
-        if conn.group is None or conn.group in node.groups:
+        if conn.group is None or node.groups[conn.group]:
             return 0
         return round(GROUP_LOADS * self._mean_hint)
 
--- /dev/null
+++ b/tests/test_exceptions.py
@@ -0,0 +1,296 @@
+"""Each exception, and each failure that was found, without the bench."""
+
+from __future__ import annotations
+
+import pytest
+
+from switchhub.decision.interface import (
+    Attempt,
+    DelayTold,
+    Move,
+    Note,
+    Refuse,
+    Result,
+    RosterKind,
+    Tenant,
+)
+from tests.world import World, make_class, make_settings, server
+
+SICK = [Result.ERROR, Result.TIMEOUT, Result.UNREACHABLE, Result.RESET]
+
+
+def far() -> World:
+    """No server in our own zone, so that crossing narrows nothing."""
+    return World(make_settings(zone=9))
+
+
+# Health.
+
+
+@pytest.mark.parametrize("result", SICK)
+def test_failed_set_up_sets_a_server_aside(result: Result) -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    world.adopt("b", 5000.0)
+    request = world.ask()
+    assert world.where(request) == "a"
+    world.end(request, result)
+    assert world.where(request) == "b"
+    for _ in range(5):
+        assert world.stand() == "b"
+
+
+def test_full_is_not_sick_but_takes_no_more_for_now() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    world.adopt("b", 5000.0)
+    request = world.ask()
+    world.end(request, Result.FULL)
+    assert not world.did(Note)
+    assert world.where(request) == "b"
+    assert world.stand() == "b"
+    world.wait(5000.0)
+    assert world.stand() == "a"
+
+
+def test_back_off_grows_and_lets_one_trial_through() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    world.adopt("b", 1e9)
+    waits = []
+    for _ in range(4):
+        request = world.ask()
+        assert world.where(request) == "a"
+        world.end(request, Result.TIMEOUT)
+        world.up(request)
+        since = world.now
+        while True:
+            world.wait(25.0)
+            trial = world.ask()
+            if world.where(trial) == "a":
+                break
+            world.up(trial)
+        waits.append(world.now - since)
+        other = world.ask()
+        assert world.where(other) == "b", "one trial at a time"
+        world.up(other)
+        world.end(trial, Result.TIMEOUT)
+        world.up(trial)
+        world.wait(20000.0)
+    assert waits[-1] > 2 * waits[0]
+
+
+def test_server_that_serves_again_is_said_so_once() -> None:
+    world = far()
+    world.roster(server("a"))
+    world.end(world.ask(), Result.ERROR)
+    world.wait(10000.0)
+    for _ in range(3):
+        request = world.ask()
+        world.up(request)
+    notes = [action.text for action in world.actions if isinstance(action, Note)]
+    assert notes == ["server a set aside: error", "server a serves again"]
+
+
+def test_another_server_first_then_any() -> None:
+    world = far()
+    world.roster(server("a"), server("b"), server("c"))
+    request = world.ask()
+    seen = [world.where(request)]
+    for _ in range(2):
+        world.end(request, Result.ERROR)
+        seen.append(world.where(request))
+    assert sorted(seen) == ["a", "b", "c"]
+
+
+def test_all_servers_sick_leaves_the_choice_to_the_design() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    world.adopt("b", 5000.0)
+    request = world.ask()
+    world.end(request, Result.ERROR)
+    world.end(request, Result.ERROR)
+    assert [type(action) for action in world.last if not isinstance(action, Note)] in ([Attempt], [Refuse])
+
+
+def test_time_out_is_learnt_and_leaves_time_for_another() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    first = world.ask(budget=1200.0)
+    assert world.did(Attempt)[0].timeout == 1200.0  # nothing learnt yet
+    world.up(first, elapsed=20.0)
+    for _ in range(50):
+        world.up(world.ask(), elapsed=20.0)
+    world.ask(budget=1200.0)
+    short = world.did(Attempt)[0].timeout
+    assert 20.0 < short <= 1200.0 / 3
+    for _ in range(200):
+        world.up(world.ask(), elapsed=500.0)
+    world.ask(budget=1200.0)
+    assert 500.0 <= world.did(Attempt)[0].timeout <= 1200.0
+
+
+# Strain and limits.
+
+
+def loaded() -> tuple[World, list[str]]:
+    world = far()
+    world.roster(server("a"), server("b"))
+    held = [world.adopt("a") for _ in range(20)]
+    for _ in range(40):
+        world.adopt("b")
+    return world, held
+
+
+def test_strain_stops_new_connections_before_aims_are_missed() -> None:
+    world, held = loaded()
+    world.strain(held[0], "a", 25.0)  # over a third of the aim of 60, under the aim
+    assert not world.did(Move)
+    assert world.stand() == "b"
+
+
+def test_missed_aims_move_a_part_off_and_no_more() -> None:
+    world, held = loaded()
+    world.strain(held[0], "a", 200.0)
+    moved = world.did(Move)
+    assert 0 < len(moved) <= 4
+    world.strain(held[-1], "a", 200.0)
+    assert len({move.request for move in moved + world.did(Move)}) == len(moved) + len(world.did(Move))
+    for move in moved:
+        world.attempts[move.request] = 0
+
+
+def test_limit_rises_again_once_calm() -> None:
+    world, held = loaded()
+    world.strain(held[0], "a", 25.0)
+    world.strain(held[0], "a", 5.0)
+    world.wait(5000.0)
+    assert world.stand() == "a"
+
+
+def test_strain_told_long_ago_is_no_evidence() -> None:
+    world, held = loaded()
+    world.strain(held[0], "a", 25.0)
+    world.wait(60000.0)
+    assert world.stand() == "a"
+
+
+def test_news_of_an_unknown_server_changes_nothing() -> None:
+    world, _ = loaded()
+    before = world.balancer.sums()
+    world.feed(DelayTold("nobody", 0, "ghost", 900.0))
+    assert not world.last
+    assert world.balancer.sums() == before
+
+
+def test_least_worth_moves_first() -> None:
+    settings = make_settings((make_class(worth=5.0), make_class(worth=1.0)), zone=9)
+    world = World(settings)
+    world.roster(server("a"))
+    dear = [world.ask(class_index=0) for _ in range(10)]
+    cheap = [world.ask(class_index=1) for _ in range(10)]
+    for request in dear + cheap:
+        world.up(request)
+    world.strain(dear[0], "a", 200.0)
+    assert world.did(Move)
+    assert {move.request for move in world.did(Move)} <= set(cheap)
+
+
+# Overload.
+
+
+def test_all_at_their_limit_refuses_at_once() -> None:
+    world, held = loaded()
+    other = next(r for r in world.attempts if r not in held)
+    world.strain(held[0], "a", 25.0)
+    world.strain(other, "b", 25.0)
+    world.ask()
+    assert [type(action) for action in world.last] == [Refuse]
+
+
+def test_refusal_names_a_wait_where_clients_take_one() -> None:
+    world = World(make_settings(retry_after_max=600.0))
+    world.ask()
+    assert world.last == [Refuse("r1", 600.0)]
+
+
+def test_tenant_over_its_share_is_refused_first() -> None:
+    tenants = (Tenant("big", 0.5, 10.0), Tenant("small", 0.5, 10.0))
+    world = World(make_settings(tenants=tenants, zone=9))
+    world.roster(server("a"))
+    held = [world.adopt("a", tenant=0) for _ in range(18)]
+    world.adopt("a", tenant=1)
+    world.adopt("a", tenant=1)
+    world.strain(held[0], "a", 25.0)
+    world.end(held[1], Result.OK)
+    world.end(held[2], Result.OK)
+    world.ask(1000.0, tenant=0)
+    assert world.did(Refuse)
+    world.ask(1000.0, tenant=1)
+    assert world.did(Attempt)
+
+
+# Groups.
+
+
+def test_group_stays_together_until_sums_differ_by_more_than_it_costs() -> None:
+    world = World(make_settings(groups_share_work=True, zone=9))
+    world.roster(server("a"), server("b"))
+    first = world.stand(1000.0, group="g")
+    assert world.stand(1000.0, group="g") == first
+    assert world.stand(1000.0, group="h") != first
+    wheres = {world.stand(1000.0, group="g") for _ in range(12)}
+    assert wheres == {"a", "b"}, "the least sum still decides"
+
+
+def test_group_that_has_ended_draws_nobody() -> None:
+    world = World(make_settings(groups_share_work=True, zone=9))
+    world.roster(server("a"), server("b"))
+    request = world.ask(1000.0, group="g")
+    world.up(request)
+    first = world.where(request)
+    assert world.balancer.sums()[first] == 1000
+    world.end(request, Result.OK)
+    world.adopt(first, 10.0)
+    assert world.stand(1000.0, group="g") != first
+
+
+def test_groups_mean_nothing_where_they_share_no_work() -> None:
+    world = far()
+    world.roster(server("a"))
+    world.stand(1000.0, group="g")
+    assert world.balancer.sums()["a"] == 1000
+
+
+# Crossing zones.
+
+
+def test_own_zone_among_sums_closer_than_noise_only() -> None:
+    world = World(make_settings(zone=1))
+    world.roster(server("near", zone=1), server("distant", zone=2))
+    for _ in range(25):
+        world.adopt("near", 1000.0)
+        world.adopt("distant", 1000.0)
+    world.adopt("near", 5000.0)  # 5000 more, noise is about 10000
+    assert world.stand(1000.0) == "near"
+    world.adopt("near", 20000.0)
+    assert world.stand(1000.0) == "distant"
+
+
+def test_repeated_whole_lists_and_empty_changes_change_nothing() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    world.adopt("a", 100.0)
+    before = world.balancer.sums()
+    world.roster(server("a"), server("b"))
+    world.roster(kind=RosterKind.CHANGES)
+    assert world.balancer.sums() == before
+    assert world.stand() == "b"
+
+
+def test_clock_near_zero_and_far_from_it() -> None:
+    for now in (0.0, 1e12):
+        world = World(make_settings(zone=9), now=now)
+        world.roster(server("a"), server("b"))
+        world.adopt("a", 100.0)
+        assert world.stand() == "b"
--- a/tests/world.py
+++ b/tests/world.py
@@ -89,6 +89,7 @@
         self.actions: list[Action] = list(self.balancer.start(now))
         self.last: list[Action] = []
         self.count = 0
+        self.adopted: dict[str, str] = {}
         self.attempts: dict[str, int] = {}
         self.timers: list[tuple[float, int]] = []
         self._keep(self.actions)
@@ -145,11 +146,14 @@
         assert group is None or isinstance(group, str)
         assert isinstance(tenant, int)
         self.attempts[request] = 0
+        self.adopted[request] = where
         self.feed(ConnectionAdopted(Request(request, 0, 0.0, tenant, hint, None, group), where))
         return request
 
     def where(self, request: str) -> str:
         """The server of the request's latest attempt."""
+        if request in self.adopted:
+            return self.adopted[request]
         return [a for a in self.actions if isinstance(a, Attempt) and a.request == request][-1].server
 
     def up(self, request: str, elapsed: float = 20.0) -> list[Action]:
