--- a/switchhub/wirehost/loop.py
+++ b/switchhub/wirehost/loop.py
@@ -7,6 +7,7 @@
 from typing import TextIO
 
 from switchhub.decision.brain import Balancer
+from switchhub.decision.interface import ConnectionAdopted, RequestArrived, Settings
 from switchhub.wirehost.codec import (
     END_OF_BATCH,
     END_OF_REPLY,
@@ -26,6 +27,7 @@
     def __init__(self, errors: TextIO) -> None:
         self._errors = errors
         self._balancers: dict[str, Balancer | None] = {}
+        self._settings: dict[str, Settings] = {}
 
     def run_batch(self, now: float, messages: list[tuple[int, Message]]) -> list[str]:
         """Carry one batch through; the reply's lines, in the order decided."""
@@ -37,6 +39,7 @@
                 continue
             try:
                 if isinstance(event, Boot):
+                    self._settings[name] = event.settings
                     balancer = balancers[name] = Balancer(event.settings, event.seed)
                     actions = balancer.start(now)
                 else:
@@ -46,6 +49,8 @@
                         raise _located(WireError("event", "I", f"unknown instance {name!r}"), line) from None
                     if current is None:
                         continue  # it has declared itself broken
+                    if isinstance(event, RequestArrived | ConnectionAdopted):
+                        self._check_request(name, event, line)
                     actions = current.handle(now, event)
             except WireError:
                 raise
@@ -58,6 +63,15 @@
                 reply.append(encode(name, action))
         return reply
 
+    def _check_request(self, name: str, event: RequestArrived | ConnectionAdopted, line: int) -> None:
+        """A request may only name classes and tenants that its instance was told of."""
+        message = "demand" if isinstance(event, RequestArrived) else "adopted"
+        settings, request = self._settings[name], event.request
+        if request.class_index >= len(settings.classes):
+            raise _located(WireError(message, "Class", f"no such class: {request.class_index}"), line)
+        if settings.tenants and request.tenant >= len(settings.tenants):
+            raise _located(WireError(message, "UserGroup", f"no such tenant: {request.tenant}"), line)
+
 
 def _located(error: WireError, line: int) -> WireError:
     error.line = line
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -239,7 +239,7 @@
     first = world.stand(1000.0, group="g")
     assert world.stand(1000.0, group="g") == first
     assert world.stand(1000.0, group="h") != first
-    wheres = {world.stand(1000.0, group="g") for _ in range(12)}
+    wheres = {world.stand(1000.0, group="g") for _ in range(40)}
     assert wheres == {"a", "b"}, "the least sum still decides"
 
 
