--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -336,7 +336,8 @@
     def _limit(self, node: _Node) -> float:
         """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
         calm = (self._now - node.limit_at - LIMIT_HOLD) / 1000
-        return node.limit if calm <= 0 else node.limit + calm * (LIMIT_GROWTH * node.limit + self._mean_hint)
+        one = self._mean_hint / self._settings.fleet_size  # all balancers raise it together
+        return node.limit if calm <= 0 else node.limit + calm * (LIMIT_GROWTH * node.limit + one)
 
     def _relieve(self, node: _Node) -> None:
         """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -294,3 +294,20 @@
         world.roster(server("a"), server("b"))
         world.adopt("a", 100.0)
         assert world.stand() == "b"
+
+
+def test_limits_rise_as_one_fleet_not_as_many_balancers() -> None:
+    """Incident: with fifteen balancers each gave a strained server one more connection a second."""
+
+    def taken(fleet_size: int) -> int:
+        world = World(make_settings(zone=9, fleet_size=fleet_size))
+        world.roster(server("a"))
+        held = world.adopt("a", 1000.0)
+        world.strain(held, "a", 25.0)
+        world.wait(11500.0)
+        for _ in range(30):
+            world.ask(1000.0)
+        return world.balancer.sums()["a"] // 1000 - 1
+
+    assert taken(1) == 10
+    assert taken(5) == 2
