Thin slices: what a balancer may hold is rounded to whole connections by lot

Each server now has a lot, drawn once by each balancer, that rounds limits and moves so that the fleet together does what one thick balancer did.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -38,11 +38,12 @@
 class _Node:
     """What this balancer knows of one server."""
 
-    __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "pending", "sent",
-                 "server", "total")
+    __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "luck", "pending",
+                 "sent", "server", "total")
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, luck: float) -> None:
         self.id, self.server = server.id, server
+        self.luck = luck  # by lot in [0, 1): rounds what this balancer may hold here to whole connections
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
         self.groups: Counter[str] = Counter()  # connections of each group held here
@@ -124,12 +125,16 @@
     def _on_adopted(self, event: ConnectionAdopted) -> None:
         node = self._nodes.get(event.server)
         if node is None:  # it stands somewhere that our list does not name: count it, send nothing there
-            node = self._nodes[event.server] = _Node(Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0))
+            node = self._nodes[event.server] = self._new_node(
+                Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0))
         conn = _Conn(event.request, self._settings, self._load_of(event.request), math.inf)
         conn.attempts, conn.up = 1, True
         self._conns[event.request.id] = conn
         self._hold(conn, node)
 
+    def _new_node(self, server: Server) -> _Node:
+        return _Node(server, self._rng.random())
+
     def _load_of(self, request: Request) -> int:
         """The hint, or for a missing one the mean hint lately seen."""
         if request.hint is None:
@@ -290,7 +295,7 @@
 
     def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: sums know no speed; a slow or crowded server keeps its full share past its capacity."""
-        return [node for node in nodes if self._would_be(node, conn) <= self._limit(node)]
+        return [node for node in nodes if self._room(node, conn, 1.0)]
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
@@ -307,7 +312,11 @@
         """Danger: past the fleet's capacity each further connection spoils the others. Refuse if harmless."""
         part = OVER_SHARE_PART if self._over_share(conn) else 1.0
         return self._harmless(conn) and not any(
-            self._would_be(node, conn) <= self._limit(node) * part for node in self._healthy(conn, nodes))
+            self._room(node, conn, part) for node in self._healthy(conn, nodes))
+
+    def _room(self, node: _Node, conn: _Conn, part: float) -> bool:
+        """Danger: many balancers hold a connection or two here, and each rounds its part down to nothing."""
+        return self._would_be(node, conn) <= self._limit(node) * part + node.luck * conn.load
 
     def _over_share(self, conn: _Conn) -> bool:
         """Whether its tenant holds more of its quota than all tenants do of theirs, whatever our part."""
@@ -343,7 +352,7 @@
         """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
         excess = node.total - node.limit - sum(conn.load for conn in node.held.values() if conn.moving)
         for conn in sorted(node.held.values(), key=self._value):
-            if conn.up and not conn.moving and conn.load <= excess:
+            if conn.up and not conn.moving and excess > node.luck * conn.load:
                 conn.moving = True
                 excess -= conn.load
                 self._out.append(Move(conn.request.id))
@@ -403,7 +412,7 @@
         for server in event.servers:
             known = self._nodes.get(server.id)
             if known is None:
-                self._nodes[server.id] = _Node(server)
+                self._nodes[server.id] = self._new_node(server)
             else:
                 known.server = server
         self._nodes = {node.id: node for node in self._nodes.values()
