--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -12,6 +12,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from hashlib import blake2b
 from random import Random
 from typing import Any
 
@@ -28,6 +29,8 @@
 TIMEOUT_SPREADS, SETUP_MEMORY = 4.0, 1 / 16  # mean deviations that a set-up may take over the mean
 HINT_NOISE = 2.0  # a sum's noise, as a multiple of the root of the summed squares of its loads
 GROUP_LOADS = 16.0  # what a group adds to a server that holds none of it, in mean hints
+GATHER = 4.0  # a group starts at the common server if that holds so many mean hints over the least at most
+MARKS, SPREAD = 2**64 - 1, 0x9E3779B97F4A7C15  # marks are of 64 bits; an odd factor orders them anew
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
@@ -35,14 +38,20 @@
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
+def _mark(text: str) -> int:
+    """The same number at every balancer; it tells nothing but which text it is of."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 class _Node:
     """What this balancer knows of one server."""
 
-    __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "luck", "pending",
-                 "sent", "server", "total")
+    __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "luck", "mark",
+                 "pending", "sent", "server", "total")
 
     def __init__(self, server: Server, luck: float) -> None:
         self.id, self.server = server.id, server
+        self.mark = _mark(server.id)
         self.luck = luck  # by lot in [0, 1): rounds what this balancer may hold here to whole connections
         self.held: dict[str, _Conn] = {}
         self.total = 0  # the design's sum
@@ -89,7 +98,7 @@
         self._watching, self._asks_failed = False, 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._last_token = 0
-        self._exceptions = (self._healthy, self._untried, self._within, self._near)
+        self._exceptions = (self._healthy, self._untried, self._within, self._gathered, self._near)
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
@@ -297,6 +306,14 @@
         """Danger: sums know no speed; a slow or crowded server keeps its full share past its capacity."""
         return [node for node in nodes if self._room(node, conn, 1.0)]
 
+    def _gathered(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: balancers share nothing; a group starts at as many servers as there are balancers."""
+        if conn.group is None or any(conn.group in node.groups for node in nodes):
+            return nodes
+        mark = _mark(conn.group)  # the first in an order that is the group's own, and all balancers' alike
+        start = max(nodes, key=lambda node: (node.mark ^ mark) * SPREAD & MARKS)
+        return [start] if start.total <= min(node.total for node in nodes) + GATHER * self._mean_hint else nodes
+
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
         sums = [self._would_be(node, conn) for node in nodes]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -38,3 +38,26 @@
         world.ask()
         let_in += not world.did(Refuse)
     assert 0.1 * FLEET < let_in < 0.4 * FLEET
+
+
+def test_balancers_that_share_nothing_start_a_group_at_one_server() -> None:
+    names = [f"s{number}" for number in range(20)]
+    starts: dict[str, set[str]] = {"g": set(), "h": set(), "i": set(), "j": set()}
+    for seed in range(FLEET):
+        world = World(make_settings(fleet_size=FLEET, groups_share_work=True, zone=seed % 3), seed=seed)
+        world.roster(*(server(name, zone=place % 3) for place, name in enumerate(names)))
+        for group, found in starts.items():
+            found.add(world.stand(1000.0, group=group))
+    assert all(len(found) == 1 for found in starts.values())
+    assert len(set.union(*starts.values())) > 1, "groups have orders of their own"
+
+
+def test_a_crowded_common_start_is_passed_over() -> None:
+    world = World(make_settings(groups_share_work=True, zone=9))
+    world.roster(server("a"), server("b"), server("c"))
+    start = world.stand(1000.0, group="g")
+    other = World(make_settings(groups_share_work=True, zone=9), seed=2)
+    other.roster(server("a"), server("b"), server("c"))
+    for _ in range(5):
+        other.adopt(start, 1000.0, group="x")
+    assert other.stand(1000.0, group="g") != start
