--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -312,7 +312,8 @@
             return nodes
         mark = _mark(conn.group)  # the first in an order that is the group's own, and all balancers' alike
         start = max(nodes, key=lambda node: (node.mark ^ mark) * SPREAD & MARKS)
-        return [start] if start.total <= min(node.total for node in nodes) + GATHER * self._mean_hint else nodes
+        most = min(node.total for node in nodes) + GATHER * self._mean_hint
+        return [start] if start.total <= most else nodes
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
