--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -88,6 +88,8 @@
         self._now = 0.0
         self._out: list[Action] = []
         self._nodes: dict[str, _Node] = {}
+        self._ready: list[_Node] = []  # those that may be sent to, and of these the cold
+        self._cold: list[_Node] = []
         self._conns: dict[str, _Conn] = {}
         self._standing = [0] * len(settings.tenants)  # connections of each tenant
         quota = sum(tenant.connections for tenant in settings.tenants)
@@ -198,7 +200,10 @@
             return
         node, result = conn.node, event.result
         self._release(conn, node)
-        if not conn.up:
+        if conn.up:
+            if result is Result.RESET:  # dropped for too much work piled up, or lost with its server
+                self._strained(node, 1.0)
+        else:
             node.pending -= 1
             if result in SICK:
                 self._set_aside(node, result)
@@ -240,7 +245,7 @@
         """The servers to which the four rules allow an attempt now."""
         if conn.attempts >= self._settings.max_attempts or self._now >= conn.deadline:
             return []
-        nodes = [node for node in self._nodes.values() if node.server.state is State.READY]  # rule 3
+        nodes = self._ready  # rule 3
         if conn.ran is not None and conn.kind.repeat is not Repeat.SAFE:  # rule 2
             where, sent_at = conn.ran
             if conn.kind.repeat is Repeat.UNSAFE or self._now - sent_at >= conn.kind.window:
@@ -249,27 +254,30 @@
                 nodes = [node for node in nodes if node.server.zone == where.zone]
             elif conn.kind.scope is Scope.CELL:
                 nodes = [node for node in nodes if node.server.cell == where.cell]
-        if any(self._cold_age(node) is not None for node in nodes):  # rule 4
+        if self._cold:  # rule 4
+            self._cold = [node for node in self._cold if self._cold_age(node) is not None]
             peer = self._warm_peer()
-            nodes = [node for node in nodes if self._fits_cold(node, conn, peer)]
+            barred = [node for node in self._cold if not self._fits_cold(node, conn, peer)]
+            nodes = [node for node in nodes if node not in barred]
         return nodes
 
     def _least(self, conn: _Conn, nodes: list[_Node]) -> _Node:
         """The design: the least sum with the new connection in it. Ties by lot."""
-        sums = [self._would_be(node, conn) for node in nodes]
+        sums = self._sums(conn, nodes)
         least = min(sums)
         ties = [node for node, total in zip(nodes, sums, strict=True) if total == least]
         return ties[0] if len(ties) == 1 else self._rng.choice(ties)
 
-    def _would_be(self, node: _Node, conn: _Conn) -> int:
-        """The sum with the new connection in it."""
-        return node.total + conn.load + self._added(node, conn)
+    def _sums(self, conn: _Conn, nodes: list[_Node]) -> list[int]:
+        """The sums with the new connection in them.
 
-    def _added(self, node: _Node, conn: _Conn) -> int:
-        """Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so."""
-        if conn.group is None or node.groups[conn.group]:
-            return 0
-        return round(GROUP_LOADS * self._mean_hint)
+        Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so.
+        """
+        load, group = conn.load, conn.group
+        if group is None:
+            return [node.total + load for node in nodes]
+        absent = load + round(GROUP_LOADS * self._mean_hint)
+        return [node.total + (load if group in node.groups else absent) for node in nodes]
 
     def _timeout(self, conn: _Conn) -> float:
         """Danger: a silent server eats the client's whole wait. Leave time for another one."""
@@ -304,7 +312,7 @@
 
     def _within(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: sums know no speed; a slow or crowded server keeps its full share past its capacity."""
-        return [node for node in nodes if self._room(node, conn, 1.0)]
+        return [node for node in nodes if node.limit == math.inf or self._room(node, conn, 1.0)]
 
     def _gathered(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: balancers share nothing; a group starts at as many servers as there are balancers."""
@@ -317,7 +325,7 @@
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
-        sums = [self._would_be(node, conn) for node in nodes]
+        sums = self._sums(conn, nodes)
         least = min(sums)
         held = nodes[sums.index(least)].held.values()
         limit = least + HINT_NOISE * math.sqrt(sum(each.load * each.load for each in held))
@@ -334,7 +342,7 @@
 
     def _room(self, node: _Node, conn: _Conn, part: float) -> bool:
         """Danger: many balancers hold a connection or two here, and each rounds its part down to nothing."""
-        return self._would_be(node, conn) <= self._limit(node) * part + node.luck * conn.load
+        return self._sums(conn, [node])[0] <= self._limit(node) * part + node.luck * conn.load
 
     def _over_share(self, conn: _Conn) -> bool:
         """Whether its tenant holds more of its quota than all tenants do of theirs, whatever our part."""
@@ -395,23 +403,21 @@
         return max(age, 0.0) if node.server.born and age < self._settings.cold_time else None
 
     def _warm_peer(self) -> float:
-        """What the middle warm peer carries for this balancer: our part of what a cold one will do."""
-        warm = sorted(min(node.total, self._limit(node)) for node in self._nodes.values()
-                      if node.server.state is State.READY and self._cold_age(node) is None)
-        return warm[(len(warm) - 1) // 2] if warm else self._mean_hint
+        """What a warm peer carries for this balancer on average: our part of what a cold one will do."""
+        warm = [node.total for node in self._ready if node not in self._cold]
+        return sum(warm) / len(warm) if warm else self._mean_hint
 
     def _fits_cold(self, node: _Node, conn: _Conn, peer: float) -> bool:
         """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
-        age = self._cold_age(node)
-        if age is None:
-            return True
         settings, sent, push = self._settings, node.sent, self._push(conn)
+        ramp = (self._cold_age(node) or 0.0) / settings.cold_time
+        if node.total + conn.load > peer * ramp + node.luck * conn.load:
+            return False
         while sent and sent[0][0] <= self._now - settings.fall_time:
             sent.popleft()
-        ramp = age / settings.cold_time
         share = settings.cold_share + (1 - settings.cold_share) * ramp
         budget = COLD_CARE * settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
-        return node.total + conn.load <= peer * ramp and sum(each for _, each in sent) + push <= budget
+        return sum([each for _, each in sent]) + push <= budget + node.luck * push
 
     def _push(self, conn: _Conn) -> float:
         """What a set-up counts for in the cold budget: small hints often err, and only they would fit."""
@@ -435,6 +441,8 @@
                 known.server = server
         self._nodes = {node.id: node for node in self._nodes.values()
                        if node.server.state is not State.GONE or node.held}
+        self._ready = [node for node in self._nodes.values() if node.server.state is State.READY]
+        self._cold = [node for node in self._ready if self._cold_age(node) is not None]
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
         """Danger: a list unasked for too long counts as told. Ask again well before that, not in step."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from switchhub.decision.interface import Move, Refuse
+from switchhub.decision.interface import Attempt, Move, Refuse, Result
 from tests.world import World, make_settings, server
 
 FLEET = 200
@@ -61,3 +61,36 @@
     for _ in range(5):
         other.adopt(start, 1000.0, group="x")
     assert other.stand(1000.0, group="g") != start
+
+
+def test_cold_budget_holds_over_all_balancers_and_is_used() -> None:
+    """200 balancers on 80 servers, one of them cold, and a crowd that all want a place at once."""
+    names = [f"s{number}" for number in range(79)]
+    sent = 0
+    for seed in range(FLEET):
+        world = World(make_settings(fleet_size=FLEET, zone=9), seed=seed, now=9000.0)
+        world.roster(*(server(name) for name in names), server("new", born=world.now - 3000.0))
+        for number in range(8):
+            world.adopt(names[(7 * seed + 10 * number) % 79])
+        for _ in range(6):
+            world.wait(100.0)
+            world.ask()
+            sent += sum(action.server == "new" for action in world.did(Attempt))
+    peer = FLEET * 8 / 79  # connections that a warm server holds
+    allowed = 2.5 * 0.56 * peer * 2000.0 / 8000.0  # multiple x capacity now x window / warm-up
+    assert 0 < sent <= allowed
+
+
+def test_standing_connection_reset_by_its_server_makes_the_rest_its_limit() -> None:
+    world = World(make_settings(zone=9))
+    world.roster(server("a"))
+    held = [world.adopt("a") for _ in range(10)]
+    world.end(held[0], Result.RESET, closed=True)
+    world.ask()
+    assert world.did(Refuse)
+    other = World(make_settings(zone=9))
+    other.roster(server("a"))
+    held = [other.adopt("a") for _ in range(10)]
+    other.end(held[0], Result.CANCELLED, closed=True)
+    other.ask()
+    assert other.did(Attempt), "a client that leaves tells nothing of its server"
