--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -337,8 +337,17 @@
     def _overloaded(self, conn: _Conn, nodes: list[_Node]) -> bool:
         """Danger: past the fleet's capacity each further connection spoils the others. Refuse if harmless."""
         part = OVER_SHARE_PART if self._over_share(conn) else 1.0
-        return self._harmless(conn) and not any(
-            self._room(node, conn, part) for node in self._healthy(conn, nodes))
+        if not self._harmless(conn):
+            return False
+        healthy = self._healthy(conn, nodes)
+        if not any(self._room(node, conn, part) for node in healthy):
+            return True
+        known = [node for node in healthy if len(node.held) > node.pending]
+        return all(self._fresh(node) for node in known) and self._rng.random() < len(known) / (len(known) + 1)
+
+    def _fresh(self, node: _Node) -> bool:
+        """Whether the server has told of strain, and not of calm since."""
+        return self._now - node.limit_at < LIMIT_HOLD and node.limit != math.inf
 
     def _room(self, node: _Node, conn: _Conn, part: float) -> bool:
         """Danger: many balancers hold a connection or two here, and each rounds its part down to nothing."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -94,3 +94,18 @@
     other.end(held[0], Result.CANCELLED, closed=True)
     other.ask()
     assert other.did(Attempt), "a client that leaves tells nothing of its server"
+
+
+def test_known_servers_all_strained_speak_for_the_unknown() -> None:
+    let_in = 0
+    for seed in range(FLEET):
+        world = World(make_settings(fleet_size=FLEET, zone=9), seed=seed)
+        world.roster(*(server(f"s{number}") for number in range(40)))
+        for number in range(3):
+            world.strain(world.adopt(f"s{number}"), f"s{number}", 30.0)
+        world.ask()
+        let_in += bool(world.did(Attempt))
+        world.wait(2000.0)
+        world.ask()
+        assert world.did(Attempt), "strain told too long ago is no evidence"
+    assert 0.15 * FLEET < let_in < 0.35 * FLEET
