--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -35,6 +35,7 @@
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
 LIMIT_CUT = 0.2  # part of the limit that one news of missed aims takes, and that moves off
+ROSTER_TIMER = 1  # the token of the only timer there is: ask for the roster again
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
@@ -98,14 +99,15 @@
         self._setup_time = self._setup_spread = 0.0  # of set-ups that worked: mean, and mean deviation
         self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
         self._watching, self._asks_failed = False, 0
-        self._timers: dict[int, Callable[[], None]] = {}
-        self._last_token = 0
-        self._exceptions = (self._healthy, self._untried, self._within, self._gathered, self._near)
+        self._strain_at = -math.inf  # when a server told of strain last
+        self._exceptions = (
+            self._healthy, self._untried, self._within, self._gathered, self._known, self._near)
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
             DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
-            TimerFired: self._on_timer, ProbeAnswered: self._on_probe,
+            TimerFired: lambda _event: self._out.append(WatchRoster()),
+            ProbeAnswered: lambda _event: None,  # none is sent: told delays say the same, for nothing
         }
 
     def start(self, now: float) -> list[Action]:
@@ -136,16 +138,13 @@
     def _on_adopted(self, event: ConnectionAdopted) -> None:
         node = self._nodes.get(event.server)
         if node is None:  # it stands somewhere that our list does not name: count it, send nothing there
-            node = self._nodes[event.server] = self._new_node(
-                Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0))
+            node = self._nodes[event.server] = _Node(
+                Server(event.server, -1, 0, -1, State.GONE, 1.0, 0.0), self._rng.random())
         conn = _Conn(event.request, self._settings, self._load_of(event.request), math.inf)
         conn.attempts, conn.up = 1, True
         self._conns[event.request.id] = conn
         self._hold(conn, node)
 
-    def _new_node(self, server: Server) -> _Node:
-        return _Node(server, self._rng.random())
-
     def _load_of(self, request: Request) -> int:
         """The hint, or for a missing one the mean hint lately seen."""
         if request.hint is None:
@@ -323,6 +322,16 @@
         most = min(node.total for node in nodes) + GATHER * self._mean_hint
         return [start] if start.total <= most else nodes
 
+    def _known(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: with fewer connections than servers an empty sum says only that the server is not known.
+
+        While strain is told: those where a connection of ours stands, that told us something, or are new.
+        """
+        if self._now - self._strain_at >= LIMIT_HOLD or len(self._conns) > len(self._ready):
+            return nodes
+        return [node for node in nodes
+                if len(node.held) > node.pending or node.limit != math.inf or node.server.born]
+
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
         sums = self._sums(conn, nodes)
@@ -376,6 +385,7 @@
 
     def _strained(self, node: _Node, part: float) -> None:
         node.limit, node.limit_at = min(self._limit(node), node.total) * part, self._now
+        self._strain_at = self._now
 
     def _limit(self, node: _Node) -> float:
         """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
@@ -432,7 +442,7 @@
         """What a set-up counts for in the cold budget: small hints often err, and only they would fit."""
         return max(conn.load, self._mean_hint)
 
-    # The roster, notes and timers.
+    # The roster and notes.
 
     def _on_roster(self, event: RosterChanged) -> None:
         if event.kind is not RosterKind.REMEMBERED:
@@ -445,7 +455,7 @@
         for server in event.servers:
             known = self._nodes.get(server.id)
             if known is None:
-                self._nodes[server.id] = self._new_node(server)
+                self._nodes[server.id] = _Node(server, self._rng.random())
             else:
                 known.server = server
         self._nodes = {node.id: node for node in self._nodes.values()
@@ -461,7 +471,7 @@
         self._watching = False
         longest = self._settings.ask_within / 4
         wait = longest / 2 ** max(0, 5 - self._asks_failed)
-        self._after(wait * self._rng.uniform(0.5, 1.0), lambda: self._out.append(WatchRoster()))
+        self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.5, 1.0)))
 
     def _on_load(self, event: LoadTold) -> None:
         """Danger: a hint is rough and usual; where the present load is told, that counts in its place."""
@@ -470,16 +480,3 @@
             load = round(event.load)
             conn.node.total += load - conn.load
             conn.load = load
-
-    def _on_probe(self, event: ProbeAnswered) -> None:
-        """No probe is sent: told delays say the same, for nothing."""
-
-    def _after(self, delay: float, call: Callable[[], None]) -> None:
-        self._last_token += 1
-        self._timers[self._last_token] = call
-        self._out.append(SetTimer(self._last_token, delay))
-
-    def _on_timer(self, event: TimerFired) -> None:
-        call = self._timers.pop(event.token, None)
-        if call is not None:
-            call()
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -109,3 +109,23 @@
         world.ask()
         assert world.did(Attempt), "strain told too long ago is no evidence"
     assert 0.15 * FLEET < let_in < 0.35 * FLEET
+
+
+def test_while_strain_is_told_a_thin_balancer_stays_with_servers_it_knows() -> None:
+    world = World(make_settings(fleet_size=FLEET, zone=9))
+    world.roster(*(server(f"s{number}") for number in range(40)))
+    told, calm = world.adopt("s1"), world.adopt("s2")
+    assert world.stand() not in ("s1", "s2"), "no strain told: the least sum decides"
+    world.strain(told, "s1", 30.0)
+    known = {world.where(calm), *(s for s, total in world.balancer.sums().items() if total)} - {"s1"}
+    assert world.stand() in known
+    world.wait(2000.0)
+    assert world.stand() not in ("s1", "s2"), "strain told too long ago is no evidence"
+
+
+def test_with_more_connections_than_servers_sums_speak_for_themselves() -> None:
+    world = World(make_settings(fleet_size=FLEET, zone=9))
+    world.roster(server("a"), server("b"), server("c"))
+    held = [world.adopt(name) for name in "aabb"]
+    world.strain(held[0], "a", 30.0)
+    assert world.stand() == "c"
