Moves are paced over all servers: a twentieth of a balancer's connections a second

Not kept: second server for clients that come again, whole groups moved together, cut of a tenth, pace 0.03 and 0.08.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -36,6 +36,7 @@
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
 LIMIT_CUT = 0.2  # part of the limit that one news of missed aims takes, and that moves off
 ROSTER_TIMER = 1  # the token of the only timer there is: ask for the roster again
+MOVE_PACE = 0.05  # part of its connections that a balancer moves in a second at most
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
@@ -100,6 +101,7 @@
         self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
         self._watching, self._asks_failed = False, 0
         self._strain_at = -math.inf  # when a server told of strain last
+        self._move_credit, self._move_at = math.inf, 0.0  # moves that may go, as counted then
         self._exceptions = (
             self._healthy, self._untried, self._within, self._gathered, self._known, self._near)
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -395,9 +397,13 @@
 
     def _relieve(self, node: _Node) -> None:
         """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
+        rate = MOVE_PACE * len(self._conns)  # connections a second, whatever tells of strain
+        self._move_credit = min(self._move_credit + rate * (self._now - self._move_at) / 1000, max(rate, 1.0))
+        self._move_at = self._now
         excess = node.total - node.limit - sum(conn.load for conn in node.held.values() if conn.moving)
         for conn in sorted(node.held.values(), key=self._value):
-            if conn.up and not conn.moving and excess > node.luck * conn.load:
+            if conn.up and not conn.moving and excess > node.luck * conn.load and self._move_credit >= 1.0:
+                self._move_credit -= 1.0
                 conn.moving = True
                 excess -= conn.load
                 self._out.append(Move(conn.request.id))
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -129,3 +129,18 @@
     held = [world.adopt(name) for name in "aabb"]
     world.strain(held[0], "a", 30.0)
     assert world.stand() == "c"
+
+
+def test_moves_are_paced_over_all_servers_that_tell_of_strain() -> None:
+    moved = 0
+    for seed in range(20):
+        world = World(make_settings(fleet_size=20, zone=9), seed=seed)
+        names = [f"s{number}" for number in range(10)]
+        world.roster(*(server(name) for name in names))
+        held = [[world.adopt(name) for _ in range(10)] for name in names]
+        for _second in range(2):
+            for name, there in zip(names, held, strict=True):
+                world.strain(there[0], name, 500.0)
+                moved += len(world.did(Move))
+            world.wait(1000.0)
+    assert 0 < moved <= 20 * (0.05 * 100 + 1 + 0.05 * 100), "a twentieth of a hundred a second, not a fifth"
