--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -31,12 +31,13 @@
 GROUP_LOADS = 16.0  # what a group adds to a server that holds none of it, in mean hints
 GATHER = 4.0  # a group starts at the common server if that holds so many mean hints over the least at most
 MARKS, SPREAD = 2**64 - 1, 0x9E3779B97F4A7C15  # marks are of 64 bits; an odd factor orders them anew
+OWN_PART = 2.0  # connections of a group held here, on average, over which a balancer starts it where it likes
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
 LIMIT_CUT = 0.2  # part of the limit that one news of missed aims takes, and that moves off
 ROSTER_TIMER = 1  # the token of the only timer there is: ask for the roster again
-MOVE_PACE = 0.05  # part of its connections that a balancer moves in a second at most
+MOVE_PACE = 0.07  # part of its connections that a balancer moves in a second at most
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
@@ -272,8 +273,7 @@
     def _sums(self, conn: _Conn, nodes: list[_Node]) -> list[int]:
         """The sums with the new connection in them.
 
-        Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so.
-        """
+        Groups. Danger: each server that holds any of a group pays for it once, and hints do not say so."""
         load, group = conn.load, conn.group
         if group is None:
             return [node.total + load for node in nodes]
@@ -317,7 +317,8 @@
 
     def _gathered(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: balancers share nothing; a group starts at as many servers as there are balancers."""
-        if conn.group is None or any(conn.group in node.groups for node in nodes):
+        if conn.group is None or any(conn.group in node.groups for node in nodes) or (
+                len(self._conns) > OWN_PART * (1 + sum([len(node.groups) for node in self._ready]))):
             return nodes
         mark = _mark(conn.group)  # the first in an order that is the group's own, and all balancers' alike
         start = max(nodes, key=lambda node: (node.mark ^ mark) * SPREAD & MARKS)
@@ -325,10 +326,9 @@
         return [start] if start.total <= most else nodes
 
     def _known(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
-        """Danger: with fewer connections than servers an empty sum says only that the server is not known.
+        """Danger: with fewer connections than servers an empty sum says only that a server is not known.
 
-        While strain is told: those where a connection of ours stands, that told us something, or are new.
-        """
+        While strain is told: where a connection of ours stands, that told us something, or that are new."""
         if self._now - self._strain_at >= LIMIT_HOLD or len(self._conns) > len(self._ready):
             return nodes
         return [node for node in nodes
