--- /dev/null
+++ b/switchhub/__main__.py
@@ -0,0 +1,55 @@
+"""`python -m switchhub`: starts one balancer and stops it.
+
+Owns: the process, its signals, its log. Must never: hold state of a connection, or end with standing
+connections untold.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+from loguru import logger
+
+from switchhub.net.config import Config, ConfigError, read_config
+from switchhub.net.listener import Listener
+
+LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
+
+
+async def serve(config: Config) -> None:
+    """Run one balancer until a signal stops it."""
+    listener = Listener(config)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, listener.stop)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counters {}", listener.counters.line()))
+    await listener.run()
+
+
+def main() -> int:
+    """The exit status: 0 after an ordered stop, 2 when the configuration does not serve."""
+    logger.remove()
+    logger.add(
+        sys.stderr,
+        format=LOG_FORMAT,
+        level=os.environ.get("SWITCHHUB_LOG", "INFO"),
+        backtrace=False,
+        diagnose=False,
+    )
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        print(f"switchhub: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    uvloop.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/switchhub/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real balancer: the decision module on sockets."""
--- /dev/null
+++ b/switchhub/net/config.py
@@ -0,0 +1,146 @@
+"""What the balancer is told at its start: environment, JSON file, settings, the list as last known.
+
+Owns: the reading of these, once. Must never: change afterwards, or guess what the rules need; a file that
+does not serve ends the program with one plain line.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from switchhub.decision.interface import Server, Settings, State
+from switchhub.wirehost.errors import WireError
+from switchhub.wirehost.settings import read_settings
+
+_STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The balancer can't start with what it was told."""
+
+
+class Entry(NamedTuple):
+    """A server of discovery's list: what the module knows of it, and where it listens."""
+
+    server: Server
+    address: Address
+
+
+class Listing(NamedTuple):
+    """An answer of discovery."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+
+
+class Config(NamedTuple):
+    """All that this balancer was told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    classes: Mapping[str, int]
+    tenants: Mapping[str, int]
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+    dial_timeout: float
+    known: Listing
+
+
+def flatten(value: Any, path: str = "") -> dict[str, str]:
+    """Nested JSON as the wire's path=value pairs."""
+    pairs: dict[str, str] = {}
+    if isinstance(value, dict):
+        for key, each in value.items():
+            pairs.update(flatten(each, f"{path}.{key}" if path else key))
+    elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+        pairs[f"{path}.count"] = str(len(value))
+        for index, each in enumerate(value):
+            pairs.update(flatten(each, f"{path}.{index}"))
+    elif isinstance(value, list):
+        pairs[path] = ",".join(_plain(each) for each in value)
+        if not value:
+            pairs[f"{path}.count"] = "0"
+    else:
+        pairs[path] = _plain(value)
+    return pairs
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value).replace(" ", "_").replace(",", "_")
+
+
+def parse_address(text: str) -> Address:
+    """HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def parse_listing(data: Any, zones: Mapping[str, int], kinds: Mapping[str, int]) -> Listing:
+    """Discovery's JSON; `ConfigError` where it can't be one."""
+    try:
+        entries = []
+        for each in data["servers"]:
+            born = float(each.get("started_ms") or 0)
+            weight = float(each.get("weight", 1.0))
+            if not (math.isfinite(born) and math.isfinite(weight)):
+                raise ValueError("not a number")
+            server = Server(
+                str(each["id"]),
+                zones.get(str(each.get("zone", "")), -1),
+                kinds.get(str(each.get("kind", "")), -1),
+                int(each.get("cell", -1)),
+                _STATES[each["state"]],
+                weight,
+                born,
+            )
+            entries.append(Entry(server, parse_address(each["addr"])))
+        return Listing(int(data["version"]), bool(data["full"]), tuple(entries))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"not a list of servers: {type(error).__name__}: {error}") from None
+
+
+def _names(settings: Any, key: str) -> dict[str, int]:
+    return {
+        str(each["Name"]) if isinstance(each, dict) else str(each): index
+        for index, each in enumerate(settings.get(key) or ())
+    }
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """Read the file that the environment names."""
+    path = environ.get("BALANCER_CONFIG", "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+        told = data["settings"]
+        pairs = flatten(told)
+        zones, kinds = _names(told, "Localities"), _names(told, "Shapes")
+        return Config(
+            name=str(data["name"]),
+            listen=parse_address(data["listen"]),
+            discovery=parse_address(data["discovery"]),
+            seed=int(str(data["seed"]), 16),
+            sockets=int(data["limits"]["sockets"]),
+            settings=read_settings(pairs),
+            classes=_names(told, "Classes"),
+            tenants=_names(told, "Customers"),
+            zones=zones,
+            kinds=kinds,
+            dial_timeout=float(pairs["Allowed.DialTimeout"]),
+            known=parse_listing(data["known"], zones, kinds),
+        )
+    except (OSError, WireError, KeyError, TypeError, ValueError) as error:
+        raise ConfigError(f"BALANCER_CONFIG={path!r}: {type(error).__name__}: {error}") from None
--- /dev/null
+++ b/switchhub/net/discovery.py
@@ -0,0 +1,156 @@
+"""Discovery: watches the list of servers, tells the module, and knows where each server listens.
+
+Owns: the one connection to discovery and the table of addresses and states. Must never: drop a server's
+address while connections may need it, wait between an answer and the next watch, or decide when to call again
+after a failure: the module asks for that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+from loguru import logger
+
+from switchhub.decision.facade import Facade, Roster, RosterLost
+from switchhub.decision.interface import RosterKind, State
+from switchhub.net.config import Address, Config, ConfigError, Listing, parse_listing
+from switchhub.net.counters import Counters
+
+WAIT_MS = 10_000  # how long a watch may wait for news
+ANSWER_WITHIN = 1.5  # seconds past that wait after which discovery counts as silent
+CONNECT_WITHIN = 1.0
+ANSWER_MAX = 8 << 20
+
+
+class DiscoveryError(Exception):
+    """A call failed."""
+
+
+class _Answer:
+    """Collects one HTTP answer."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.done = False
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > ANSWER_MAX:
+            raise DiscoveryError("answer too long")
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+class Discovery:
+    """The watch and the table."""
+
+    def __init__(
+        self, config: Config, facade: Facade, counters: Counters, clock: Callable[[], float]
+    ) -> None:
+        self._config, self._facade, self._counters, self._clock = config, facade, counters, clock
+        self._asked = asyncio.Event()
+        self._sock: socket.socket | None = None
+        self._version = -1
+        self._addresses: dict[str, Address] = {}
+        self._ready: set[str] = set()
+        self._apply(config.known, RosterKind.REMEMBERED)
+
+    def address(self, server: str) -> Address | None:
+        """Where a server listens, also one that drains or is gone."""
+        return self._addresses.get(server)
+
+    def ready(self, server: str) -> bool:
+        """Whether something new may be sent there."""
+        return server in self._ready
+
+    def ask(self) -> None:
+        """The module wants a watch."""
+        self._asked.set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        try:
+            while True:
+                await self._asked.wait()
+                self._asked.clear()
+                try:
+                    while True:
+                        listing = await self._call()
+                        kind = RosterKind.WHOLE if listing.full else RosterKind.CHANGES
+                        self._apply(listing, kind)
+                except (
+                    OSError,
+                    TimeoutError,
+                    DiscoveryError,
+                    ConfigError,
+                    httptools.HttpParserError,
+                ) as error:
+                    logger.warning("discovery: {}: {}", type(error).__name__, error)
+                    self._counters.add("discovery.failed")
+                    self._close()
+                    self._facade.report(self._clock(), RosterLost())
+        finally:
+            self._close()
+
+    def _apply(self, listing: Listing, kind: RosterKind) -> None:
+        self._version = listing.version
+        if kind is RosterKind.WHOLE:
+            self._ready.clear()
+        for server, address in listing.entries:
+            self._addresses[server.id] = address
+            if server.state is State.READY:
+                self._ready.add(server.id)
+            else:
+                self._ready.discard(server.id)
+            if kind is not RosterKind.REMEMBERED:
+                logger.info(
+                    "server {} {} at {}:{} born {:.0f}", server.id, server.state.value, *address, server.born
+                )
+        self._counters.add("discovery.answers")
+        self._facade.report(self._clock(), Roster(kind, tuple(entry.server for entry in listing.entries)))
+
+    async def _call(self) -> Listing:
+        self._counters.add("discovery.calls")
+        if self._sock is None:
+            self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._sock.setblocking(False)
+            async with asyncio.timeout(CONNECT_WITHIN):
+                await asyncio.get_running_loop().sock_connect(self._sock, self._config.discovery)
+        host, port = self._config.discovery
+        request = (
+            f"GET /api/targets?index={self._version}&wait={WAIT_MS} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        )
+        async with asyncio.timeout(WAIT_MS / 1000 + ANSWER_WITHIN):
+            await asyncio.get_running_loop().sock_sendall(self._sock, request.encode())
+            status, keep, body = await self._answer(self._sock)
+        if not keep:
+            self._close()
+        if status != 200:
+            raise DiscoveryError(f"status {status}")
+        try:
+            data: Any = json.loads(body)
+        except ValueError as error:
+            raise DiscoveryError(f"not JSON: {error}") from None
+        return parse_listing(data, self._config.zones, self._config.kinds)
+
+    async def _answer(self, sock: socket.socket) -> tuple[int, bool, bytearray]:
+        answer = _Answer()
+        parser = httptools.HttpResponseParser(answer)
+        buffer = memoryview(bytearray(16384))
+        while not answer.done:
+            count = await asyncio.get_running_loop().sock_recv_into(sock, buffer)
+            if not count:
+                raise DiscoveryError("the connection ended")
+            parser.feed_data(buffer[:count])
+        return parser.get_status_code(), parser.should_keep_alive(), answer.body
+
+    def _close(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
--- /dev/null
+++ b/switchhub/net/listener.py
@@ -0,0 +1,141 @@
+"""Accepts clients, keeps the sessions, carries out the module's chores, and stops in order.
+
+Owns: the listening socket, every session's task, the sockets that are being ended. Must never: decide
+anything; leave a connection in the backlog; end a standing connection at a stop without telling its client to move.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from switchhub.decision.facade import Facade
+from switchhub.net.config import Config
+from switchhub.net.counters import Counters
+from switchhub.net.discovery import Discovery
+from switchhub.net.lines import Wire
+from switchhub.net.session import FINISH_WITHIN, Session
+
+BACKLOG = 4096
+TICK = 0.02  # seconds between two looks at the module's chores
+CHECK = 0.25  # seconds between two looks at silent connections
+NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
+LINGER = 0.45  # seconds after a stop's start in which new connections still come
+STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
+
+
+class Listener:
+    """One balancer."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.counters = Counters()
+        self._zero = time.time() * 1000 - time.monotonic() * 1000
+        self.facade = Facade(config.settings, config.seed, self.clock())
+        self.discovery = Discovery(config, self.facade, self.counters, self.clock)
+        self.sessions: dict[str, Session] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = asyncio.Event()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(config.listen)
+
+    def clock(self) -> float:
+        """Unix time in milliseconds that never runs backward."""
+        return time.monotonic() * 1000 + self._zero
+
+    def stop(self) -> None:
+        """Begin to stop."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        self._chores()
+        self._sock.listen(BACKLOG)
+        logger.info("{} listens on {}:{}", self.config.name, *self.config.listen)
+        loops = [
+            asyncio.create_task(each) for each in (self._accept(), self._keep_house(), self.discovery.run())
+        ]
+        stopping = asyncio.create_task(self._stopping.wait())
+        try:
+            done, _ = await asyncio.wait((*loops, stopping), return_when=asyncio.FIRST_COMPLETED)
+            for task in done - {stopping}:  # none of these ends by itself
+                task.result()
+            await self._stop()
+        finally:
+            self._sock.close()
+            for task in (*loops, stopping):
+                task.cancel()
+            logger.info("counters {}", self.counters.line())
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(self._sock)
+            except OSError as error:  # EMFILE, or gone again
+                logger.warning("accept: {}", error)
+                self.counters.add("accept.failed")
+                await asyncio.sleep(NO_DESCRIPTORS)
+                continue
+            self.counters.add("accepted")
+            self._start(Session(self, sock).run())
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.counters.add("errors")
+            logger.opt(exception=task.exception()).error("a session broke")
+
+    def give_back(self, wire: Wire, reset: bool) -> None:
+        """End a socket: at once with a reset, or in order."""
+        if reset:
+            wire.close(reset=True)
+        elif not wire.closed:
+            self._start(wire.finish(FINISH_WITHIN))
+
+    async def _keep_house(self) -> None:
+        checked = self.loop.time()
+        while True:
+            await asyncio.sleep(TICK)
+            self._chores()
+            if self.loop.time() - checked >= CHECK:
+                checked = self.loop.time()
+                now = self.clock()
+                for session in list(self.sessions.values()):
+                    session.check(now)
+
+    def _chores(self) -> None:
+        chores = self.facade.tick(self.clock())
+        for text in chores.notes:
+            logger.info("module: {}", text)
+        for request in chores.moves:
+            session = self.sessions.get(request)
+            if session is not None:
+                self.counters.add("moves.asked")
+                session.move()
+        if chores.watch:
+            self.discovery.ask()
+
+    async def _stop(self) -> None:
+        """Go on answering while connections still come, move everybody, wait for what is owed."""
+        logger.info("stopping with {} sessions", len(self.sessions))
+        longest = max((each.deadline for each in self.config.settings.classes), default=0.0) / 1000
+        ends = self.loop.time() + min(longest, STOP_MAX) + STOP_SPARE
+        linger = self.loop.time() + LINGER
+        while self.loop.time() < ends and (self.sessions or self._tasks or self.loop.time() < linger):
+            for session in list(self.sessions.values()):
+                session.move()
+            await asyncio.sleep(TICK)
+        logger.info("stopped with {} sessions", len(self.sessions))
--- /dev/null
+++ b/switchhub/net/session.py
@@ -0,0 +1,410 @@
+"""One client's connection, from its first line to its end.
+
+Owns: the client's socket, the server's socket of the present attempt, and the tasks that read them; `run`
+gives all of them back, whatever happens. Must never: choose a server or an answer (the module does), answer twice,
+leave a request unanswered, send to a server that has begun to drain, or change a byte after `UP`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from switchhub.decision.facade import Adopted, Delay, Ended, Failed, Left, Load, Refused, Send, Up
+from switchhub.decision.interface import Request, Result
+from switchhub.net.config import Config
+from switchhub.net.lines import Head, LineError, Wire, parse_head
+
+if TYPE_CHECKING:
+    from switchhub.net.listener import Listener
+
+EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
+HEAD_WITHIN = 10.0  # seconds in which a new connection must have sent its first line
+FINISH_WITHIN = 1.0  # seconds that an ended connection's other side has to end too
+SILENT_AFTER = 5000.0  # milliseconds without an answer to a line after which a server counts as silent
+VANISHED_AFTER = 60_000.0  # milliseconds without a line after which a client counts as vanished
+ADOPT_WITHIN, ADOPT_RETRY = 38.0, 0.5  # seconds for a connection of before the start to stand again
+MESSAGES_KEPT = 16  # unanswered lines whose times are kept
+FAILED = b"FAILED\r\n"
+MOVE = b"MOVE\r\n"
+PING, PONG = b"PING\r\n", b"PONG\r\n"
+
+
+class End(Enum):
+    """How a standing connection ended."""
+
+    CLIENT = "client"
+    CLIENT_RESET = "client_reset"
+    SERVER = "server"
+    SERVER_RESET = "server_reset"
+    SILENT = "silent"
+    MOVED = "moved"
+
+
+def read_request(head: Head, config: Config) -> Request:
+    """The request of a first line; `LineError` where it names what the settings do not."""
+    values = head.values
+    try:
+        tenant = config.tenants[values["t"]] if config.tenants else 0
+        index = config.classes[values["c"]]
+        wait = float(values["d"]) if "d" in values else config.settings.classes[index].deadline
+        hint = float(values["h"]) * 1000.0 if "h" in values else None
+    except (KeyError, ValueError) as error:
+        raise LineError(f"{type(error).__name__}: {error}") from None
+    if not 0 <= wait < 1e9 or (hint is not None and not 0 <= hint < 1e12):
+        raise LineError("a figure is out of range")
+    return Request(
+        head.id, index, wait - EARLY, tenant, hint, head.key, values.get("g"), values.get("again") == "1"
+    )
+
+
+class Session:
+    """One client."""
+
+    def __init__(self, listener: Listener, sock: socket.socket) -> None:
+        self._node = listener
+        self._counters = listener.counters
+        self._clock: Callable[[], float] = listener.clock
+        self.client = Wire(sock)
+        self.server: Wire | None = None
+        self.id = ""
+        self.up = False
+        self.up_at = 0.0
+        self._arrived = self._clock()
+        self._heard = self._arrived  # when the client last sent something
+        self._asked: deque[float] = deque(maxlen=MESSAGES_KEPT)  # when lines went that wait for an answer
+        self._sending = self._move_asked = False
+        self._stands: asyncio.Future[None] = listener.loop.create_future()
+        self._done: asyncio.Future[End] = listener.loop.create_future()
+        self._last = b""
+
+    async def run(self) -> None:
+        """Serve this client to its end; everything is given back here."""
+        reader: asyncio.Task[None] | None = None
+        reset = False
+        try:
+            line = await self._first_line()
+            if line is None:
+                return
+            head = parse_head(line)
+            request = read_request(head, self._node.config)
+            if request.id in self._node.sessions:
+                raise LineError("this id is taken")
+            self.client.take(len(line))
+            self.id = request.id
+            self._node.sessions[request.id] = self
+            self._counters.add("requests.taken")
+            reader = asyncio.create_task(self._from_client())
+            setting_up = self._adopt if "at" in head.values else self._set_up
+            if await setting_up(head, request):
+                reset = await self._relay(request)
+        except LineError as error:
+            logger.debug("malformed: {}", error)
+            self._counters.add("answers.malformed")
+            self.client.say(FAILED)
+        except (OSError, TimeoutError) as error:
+            logger.debug("client lost: {}", error)
+            self._counters.add("clients.lost")
+            reset = True
+        finally:
+            if reader is not None:
+                reader.cancel()
+            self._node.sessions.pop(self.id, None)
+            if self.server is not None:
+                self._node.give_back(self.server, reset)
+                self.server = None
+            self._node.give_back(self.client, reset)
+
+    async def _first_line(self) -> memoryview | None:
+        """The line that begins the connection; `PING`s before it are answered. Nothing if none came."""
+        async with asyncio.timeout(HEAD_WITHIN):
+            while True:
+                line = self.client.line()
+                if line is None:
+                    if not await self.client.fill():
+                        if len(self.client.rest()):
+                            raise LineError("half a line")
+                        return None
+                elif line.tobytes() == PING:
+                    self.client.take(len(line))
+                    self._counters.add("pings")
+                    await self.client.send(PONG)
+                else:
+                    self._arrived = self._heard = self._clock()
+                    return line
+
+    # Setting up.
+
+    async def _set_up(self, head: Head, request: Request) -> bool:
+        """Try as the module says until the connection stands or the request is answered."""
+        facade = self._node.facade
+        while True:
+            pick = facade.pick(self._clock(), request)
+            if isinstance(pick, Refused):
+                wait = f" {pick.retry_after:.0f}" if pick.retry_after else ""
+                return self._answer("refused", f"BUSY{wait}\r\n".encode())
+            if isinstance(pick, Failed):
+                return self._answer("failed", FAILED)
+            started = self._clock()
+            attempt = asyncio.create_task(self._attempt(head, pick, started))
+            await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
+            if not attempt.done():  # the client has left
+                attempt.cancel()
+                await asyncio.wait((attempt,))
+                self._counters.add("clients.left")
+                facade.report(self._clock(), Left(request.id))
+                self._over(started, Result.CANCELLED)
+                return False
+            result = attempt.result()
+            elapsed = self._clock() - started
+            self._counters.add(f"attempts.{result.value}")
+            if result is Result.OK:
+                facade.report(self._clock(), Up(request.id, elapsed))
+                return True
+            if self.server is not None:
+                self.server.close()
+                self.server = None
+            facade.report(self._clock(), Ended(request.id, elapsed, result, False))
+
+    def _answer(self, kind: str, line: bytes) -> bool:
+        self._counters.add(f"answers.{kind}")
+        if not self.client.say(line):
+            self._counters.add("answers.undelivered")
+        return False
+
+    async def _attempt(self, head: Head, pick: Send, started: float) -> Result:
+        """One attempt at one server; `OK` when its `UP` lies unread in the server's buffer."""
+        loop = asyncio.get_running_loop()
+        address = self._node.discovery.address(pick.server)
+        if address is None:
+            return Result.NOT_SENT
+        ends = loop.time() + pick.timeout / 1000
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # out of descriptors: this says nothing of the server
+            logger.error("no socket for an attempt: {}", error)
+            return Result.NOT_SENT
+        self._counters.add("attempts")
+        server = self.server = Wire(sock)
+        try:
+            async with asyncio.timeout_at(min(ends, loop.time() + self._node.config.dial_timeout / 1000)):
+                await loop.sock_connect(sock, address)
+        except (OSError, TimeoutError):
+            return Result.UNREACHABLE
+        if not self._node.discovery.ready(pick.server):
+            return Result.NOT_SENT
+        left = max(1, int((ends - loop.time()) * 1000))
+        try:
+            async with asyncio.timeout_at(ends):
+                await server.send_parts([head.before, str(left).encode() if head.after else b"", head.after])
+        except (OSError, TimeoutError):
+            return Result.UNREACHABLE
+        return await self._verdict(server, ends)
+
+    async def _verdict(self, server: Wire, ends: float) -> Result:
+        """What the server says to the first line."""
+        try:
+            async with asyncio.timeout_at(ends):
+                while (line := server.line()) is None:
+                    if not await server.fill():
+                        return Result.RESET
+        except TimeoutError:
+            return Result.TIMEOUT
+        except OSError:
+            return Result.RESET
+        except LineError:
+            return Result.ERROR
+        if line[:3].tobytes() == b"UP ":
+            return Result.OK
+        word = line.tobytes().split()[:1]
+        if word == [b"BUSY"]:
+            return Result.FULL
+        if word == [b"MOVE"]:
+            return Result.CANCELLED
+        return Result.ERROR
+
+    async def _adopt(self, head: Head, request: Request) -> bool:
+        """Take up again, at its own server, a connection that stood before the start."""
+        server = head.values["at"]
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + ADOPT_WITHIN
+        started = self._clock()
+        self._counters.add("requests.adopted")
+        self._node.facade.report(started, Adopted(request, server))
+        while not self._done.done():
+            result = await self._adopt_once(head, server, ends)
+            if result is Result.OK:
+                return True
+            if self.server is not None:
+                self.server.close()
+                self.server = None
+            if result not in (Result.UNREACHABLE, Result.FULL) or loop.time() + ADOPT_RETRY > ends:
+                break
+            await asyncio.sleep(ADOPT_RETRY)
+        self._over(started, Result.CANCELLED)
+        return self._answer("failed", FAILED)
+
+    async def _adopt_once(self, head: Head, server: str, ends: float) -> Result:
+        loop = asyncio.get_running_loop()
+        address = self._node.discovery.address(server)
+        if address is None:
+            return Result.NOT_SENT
+        try:
+            wire = self.server = Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            async with asyncio.timeout_at(ends):
+                await loop.sock_connect(wire.sock, address)
+            left = max(1, int((ends - loop.time()) * 1000))
+            await wire.send_parts([head.before, str(left).encode() if head.after else b"", head.after])
+        except (OSError, TimeoutError):
+            return Result.UNREACHABLE
+        return await self._verdict(wire, ends)
+
+    # The standing connection.
+
+    async def _relay(self, request: Request) -> bool:
+        """Pass lines on until one side ends; whether that was a reset."""
+        self._counters.add("answers.served")
+        self.up, self.up_at = True, self._clock()
+        self._stands.set_result(None)
+        down = asyncio.create_task(self._from_server())
+        try:
+            end = await self._done
+        finally:
+            down.cancel()
+            self.up = False
+            self._over(self.up_at, self._result())
+        self._counters.add(f"ends.{end.value}")
+        return end in (End.CLIENT_RESET, End.SERVER_RESET)
+
+    def _result(self) -> Result:
+        if not self._done.done() or self._done.cancelled():
+            return Result.CANCELLED
+        end = self._done.result()
+        if end is End.SERVER:
+            return (
+                Result.OK
+                if self._last == b"BYE"
+                else Result.CANCELLED
+                if self._last == b"MOVE"
+                else Result.RESET
+            )
+        return Result.RESET if end in (End.SERVER_RESET, End.SILENT) else Result.CANCELLED
+
+    def _over(self, started: float, result: Result) -> None:
+        now = self._clock()
+        self._node.facade.report(now, Ended(self.id, now - started, result, True))
+
+    def _finish(self, end: End) -> None:
+        if not self._done.done():
+            self._done.set_result(end)
+
+    async def _from_client(self) -> None:
+        """Client to server. Before `UP` it only notices that the client has left."""
+        client = self.client
+        try:
+            while True:
+                lines = client.lines()
+                if len(lines):
+                    await self._stands
+                    self._asked.append(self._heard)
+                    await self._to_server(lines)
+                    client.take(len(lines))
+                if not await client.fill():
+                    if len(client.rest()) and self.up:
+                        await self._to_server(client.rest())
+                    return self._finish(End.CLIENT)
+                self._heard = self._clock()
+        except LineError:
+            self._finish(End.CLIENT)
+        except OSError:
+            self._finish(End.CLIENT_RESET)
+
+    async def _to_server(self, data: memoryview) -> None:
+        if self.server is None:
+            return
+        try:
+            self._counters.add("lines.up", data.tobytes().count(b"\n"))
+            await self.server.send(data)
+        except OSError:  # the reader of that side learns how it ended
+            await asyncio.sleep(FINISH_WITHIN)
+            self._finish(End.SERVER_RESET)
+
+    async def _from_server(self) -> None:
+        """Server to client, whole lines only, so that `MOVE` may go between any two writes."""
+        server = self.server
+        assert server is not None
+        try:
+            while True:
+                lines = server.lines()
+                if len(lines):
+                    self._read_news(lines)
+                    await self._to_client(lines)
+                    server.take(len(lines))
+                if not await server.fill():
+                    if len(server.rest()):
+                        await self._to_client(server.rest())
+                    return self._finish(End.SERVER)
+        except LineError:
+            logger.warning("{}: a server's line is too long", self.id)
+            self._finish(End.SERVER_RESET)
+        except OSError:
+            self._finish(End.SERVER_RESET)
+
+    async def _to_client(self, data: memoryview) -> None:
+        self._sending = True
+        try:
+            await self.client.send(data)
+        except OSError:
+            return self._finish(End.CLIENT_RESET)
+        finally:
+            self._sending = False
+        if self._move_asked:
+            self.move()
+
+    def _read_news(self, lines: memoryview) -> None:
+        """What the passing lines tell: loads, and how long a message takes."""
+        now = self._clock()
+        for line in lines.tobytes().split(b"\r\n"):
+            word, _, rest = line.partition(b" ")
+            if not word:
+                continue
+            self._counters.add("lines.down")
+            self._last = word
+            if word == b"LOAD":
+                with contextlib.suppress(ValueError):
+                    load = float(rest)
+                    if 0 <= load < 1e15:
+                        self._node.facade.report(now, Load(self.id, load))
+            elif word not in (b"UP", b"BYE", b"MOVE") and self._asked:
+                self._node.facade.report(now, Delay(self.id, now - self._asked.popleft()))
+                logger.trace("line {}", line)
+
+    def move(self) -> None:
+        """Tell the client to come again, between two lines, and end both sides."""
+        if not self.up or self._done.done():
+            return
+        if self._sending:
+            self._move_asked = True
+        else:
+            self.client.say(MOVE)
+            self._finish(End.MOVED)
+
+    def check(self, now: float) -> None:
+        """Called a few times a second: is either side silent?"""
+        if not self.up:
+            return
+        if self._asked:
+            waits = now - self._asked[0]
+            if waits > SILENT_AFTER and not self._done.done():
+                if not self._sending:
+                    self.client.say(MOVE)
+                self._finish(End.SILENT)
+        if now - self._heard > VANISHED_AFTER:
+            self._finish(End.CLIENT)
