--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -1,7 +1,8 @@
 """Accepts clients, keeps the sessions, carries out the module's chores, and stops in order.
 
 Owns: the listening socket, every session's task, the sockets that are being ended. Must never: decide
-anything; leave a connection in the backlog; end a standing connection at a stop without telling its client to move.
+anything; leave a connection in the backlog; end a standing connection at a stop without telling its client to
+move.
 """
 
 from __future__ import annotations
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -1,8 +1,8 @@
 """One client's connection, from its first line to its end.
 
 Owns: the client's socket, the server's socket of the present attempt, and the tasks that read them; `run`
-gives all of them back, whatever happens. Must never: choose a server or an answer (the module does), answer twice,
-leave a request unanswered, send to a server that has begun to drain, or change a byte after `UP`.
+gives all of them back, whatever happens. Must never: choose a server or an answer (the module does), answer
+twice, leave a request unanswered, send to a server that has begun to drain, or change a byte after `UP`.
 """
 
 from __future__ import annotations
