--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -75,6 +75,7 @@
         self.client = Wire(sock)
         self.server: Wire | None = None
         self.id = ""
+        self.place = ""  # the server of the present attempt
         self.up = False
         self.up_at = 0.0
         self._arrived = self._clock()
@@ -164,6 +165,7 @@
                 return False
             result = attempt.result()
             elapsed = self._clock() - started
+            logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
             if result is Result.OK:
                 facade.report(self._clock(), Up(request.id, elapsed))
@@ -192,6 +194,7 @@
             logger.error("no socket for an attempt: {}", error)
             return Result.NOT_SENT
         self._counters.add("attempts")
+        self.place = pick.server
         server = self.server = Wire(sock)
         try:
             async with asyncio.timeout_at(min(ends, loop.time() + self._node.config.dial_timeout / 1000)):
@@ -237,6 +240,7 @@
         ends = loop.time() + ADOPT_WITHIN
         started = self._clock()
         self._counters.add("requests.adopted")
+        self.place = server
         self._node.facade.report(started, Adopted(request, server))
         while not self._done.done():
             result = await self._adopt_once(head, server, ends)
@@ -281,6 +285,7 @@
             self.up = False
             self._over(self.up_at, self._result())
         self._counters.add(f"ends.{end.value}")
+        logger.debug("{} at {}: ended by {} ({})", self.id, self.place, end.value, self._last)
         return end in (End.CLIENT_RESET, End.SERVER_RESET)
 
     def _result(self) -> Result:
@@ -377,14 +382,17 @@
                 continue
             self._counters.add("lines.down")
             self._last = word
+            if word != b"M":
+                logger.trace("{} at {}: says {}", self.id, self.place, line)
             if word == b"LOAD":
                 with contextlib.suppress(ValueError):
                     load = float(rest)
                     if 0 <= load < 1e15:
                         self._node.facade.report(now, Load(self.id, load))
             elif word not in (b"UP", b"BYE", b"MOVE") and self._asked:
-                self._node.facade.report(now, Delay(self.id, now - self._asked.popleft()))
-                logger.trace("line {}", line)
+                delay = now - self._asked.popleft()
+                logger.trace("{} at {}: {:.1f} ms {}", self.id, self.place, delay, line)
+                self._node.facade.report(now, Delay(self.id, delay))
 
     def move(self) -> None:
         """Tell the client to come again, between two lines, and end both sides."""
