Silent servers: their waiting clients are moved after about a second, not at the reset

Seen: on hung servers lines stay unanswered for 3 s, then all connections are reset; the relay waited 5 s a connection. Checked in traces: LOAD lines go on coming from a hung server, so a first try that counted any byte as a sign of life ended nothing; answers alone count now.

--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -19,12 +19,13 @@
 from switchhub.net.config import Config
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
+from switchhub.net.health import Health
 from switchhub.net.lines import Wire
 from switchhub.net.session import FINISH_WITHIN, Session
 
 BACKLOG = 4096
 TICK = 0.02  # seconds between two looks at the module's chores
-CHECK = 0.25  # seconds between two looks at silent connections
+CHECK = 0.1  # seconds between two looks at silent connections
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
 LINGER = 0.45  # seconds after a stop's start in which new connections still come
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
@@ -40,6 +41,7 @@
         self._zero = time.time() * 1000 - time.monotonic() * 1000
         self.facade = Facade(config.settings, config.seed, self.clock())
         self.discovery = Discovery(config, self.facade, self.counters, self.clock)
+        self.health = Health()
         self.sessions: dict[str, Session] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
@@ -113,9 +115,22 @@
             self._chores()
             if self.loop.time() - checked >= CHECK:
                 checked = self.loop.time()
-                now = self.clock()
-                for session in list(self.sessions.values()):
-                    session.check(now)
+                self._check(self.clock())
+
+    def _check(self, now: float) -> None:
+        """End what a silent server or a vanished client has left behind."""
+        waiting: dict[str, list[float]] = {}
+        for session in self.sessions.values():
+            waits = session.waits(now)
+            if waits:
+                waiting.setdefault(session.place, []).append(waits)
+        silent = {
+            server
+            for server, waits in waiting.items()
+            if self.health.silent(server, len(waits), max(waits), now)
+        }
+        for session in list(self.sessions.values()):
+            session.check(now, session.place in silent)
 
     def _chores(self) -> None:
         chores = self.facade.tick(self.clock())
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -28,7 +28,8 @@
 EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
 HEAD_WITHIN = 10.0  # seconds in which a new connection must have sent its first line
 FINISH_WITHIN = 1.0  # seconds that an ended connection's other side has to end too
-SILENT_AFTER = 5000.0  # milliseconds without an answer to a line after which a server counts as silent
+SILENT_AFTER = 5000.0  # milliseconds without an answer to a line after which a connection counts as silent
+SILENT_TOO = 250.0  # the same, while its server is silent to all
 VANISHED_AFTER = 60_000.0  # milliseconds without a line after which a client counts as vanished
 ADOPT_WITHIN, ADOPT_RETRY = 38.0, 0.5  # seconds for a connection of before the start to stand again
 MESSAGES_KEPT = 16  # unanswered lines whose times are kept
@@ -168,6 +169,7 @@
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
             if result is Result.OK:
+                self._node.health.answered(pick.server, self._clock())
                 facade.report(self._clock(), Up(request.id, elapsed))
                 return True
             if self.server is not None:
@@ -245,6 +247,7 @@
         while not self._done.done():
             result = await self._adopt_once(head, server, ends)
             if result is Result.OK:
+                self._node.health.answered(server, self._clock())
                 return True
             if self.server is not None:
                 self.server.close()
@@ -391,6 +394,7 @@
                         self._node.facade.report(now, Load(self.id, load))
             elif word not in (b"UP", b"BYE", b"MOVE") and self._asked:
                 delay = now - self._asked.popleft()
+                self._node.health.answered(self.place, now)
                 logger.trace("{} at {}: {:.1f} ms {}", self.id, self.place, delay, line)
                 self._node.facade.report(now, Delay(self.id, delay))
 
@@ -404,15 +408,17 @@
             self.client.say(MOVE)
             self._finish(End.MOVED)
 
-    def check(self, now: float) -> None:
+    def waits(self, now: float) -> float:
+        """For how long a line has waited for its answer."""
+        return now - self._asked[0] if self.up and self._asked else 0.0
+
+    def check(self, now: float, server_silent: bool) -> None:
         """Called a few times a second: is either side silent?"""
-        if not self.up:
+        if not self.up or self._done.done():
             return
-        if self._asked:
-            waits = now - self._asked[0]
-            if waits > SILENT_AFTER and not self._done.done():
-                if not self._sending:
-                    self.client.say(MOVE)
-                self._finish(End.SILENT)
-        if now - self._heard > VANISHED_AFTER:
+        if self.waits(now) > (SILENT_TOO if server_silent else SILENT_AFTER):
+            if not self._sending:
+                self.client.say(MOVE)
+            self._finish(End.SILENT)
+        elif now - self._heard > VANISHED_AFTER:
             self._finish(End.CLIENT)
