--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -169,8 +169,9 @@
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
             if result is Result.OK:
-                self._node.health.answered(pick.server, self._clock())
-                facade.report(self._clock(), Up(request.id, elapsed))
+                now = self._clock()
+                facade.report(now, Up(request.id, elapsed))
+                self._tell(now, self._node.health.set_up(pick.server, self._zone(), elapsed, now))
                 return True
             if self.server is not None:
                 self.server.close()
@@ -396,7 +397,14 @@
                 delay = now - self._asked.popleft()
                 self._node.health.answered(self.place, now)
                 logger.trace("{} at {}: {:.1f} ms {}", self.id, self.place, delay, line)
-                self._node.facade.report(now, Delay(self.id, delay))
+                self._tell(now, self._node.health.line(self.place, delay, now))
+
+    def _tell(self, now: float, delay: float | None) -> None:
+        if delay is not None:
+            self._node.facade.report(now, Delay(self.id, delay))
+
+    def _zone(self) -> int:
+        return self._node.discovery.zone(self.place)
 
     def move(self) -> None:
         """Tell the client to come again, between two lines, and end both sides."""
