--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -146,7 +146,7 @@
 
     async def _set_up(self, head: Head, request: Request) -> bool:
         """Try as the module says until the connection stands or the request is answered."""
-        facade = self._node.facade
+        facade, health = self._node.facade, self._node.health
         while True:
             pick = facade.pick(self._clock(), request)
             if isinstance(pick, Refused):
@@ -155,23 +155,26 @@
             if isinstance(pick, Failed):
                 return self._answer("failed", FAILED)
             started = self._clock()
+            health.attempt_begun(pick.server, started)
             attempt = asyncio.create_task(self._attempt(head, pick, started))
             await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
             if not attempt.done():  # the client has left
                 attempt.cancel()
                 await asyncio.wait((attempt,))
+                health.attempt_over(pick.server, -1, None, self._clock())
                 self._counters.add("clients.left")
                 facade.report(self._clock(), Left(request.id))
                 self._over(started, Result.CANCELLED)
                 return False
             result = attempt.result()
-            elapsed = self._clock() - started
+            now = self._clock()
+            elapsed = now - started
+            zone = self._node.discovery.zone(pick.server)
+            health.attempt_over(pick.server, zone, elapsed if result is Result.OK else None, now)
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
             if result is Result.OK:
-                now = self._clock()
                 facade.report(now, Up(request.id, elapsed))
-                self._node.health.answered(pick.server, now)
                 return True
             if self.server is not None:
                 self.server.close()
@@ -398,6 +401,7 @@
                 delay = now - self._asked.popleft()
                 self._node.health.answered(self.place, now)
                 logger.trace("{} at {}: {:.1f} ms {}", self.id, self.place, delay, line)
+                delay = self._node.health.delay(self.place, delay, now)
                 self._node.facade.report(now, Delay(self.id, delay))
 
     def move(self) -> None:
