--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -115,10 +115,8 @@
 
     def start(self, now: float) -> list[Action]:
         """The first actions, before any event."""
-        self._now, self._out = now, []
-        if self._settings.must_ask_roster:
-            self._out.append(WatchRoster())
-        return self._out
+        self._now = now
+        return [WatchRoster()] if self._settings.must_ask_roster else []
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event; events of one moment come one by one, in their order."""
@@ -191,6 +189,8 @@
         self._setup_time += gain * (event.elapsed - self._setup_time)
         node = conn.node
         node.pending -= 1
+        if node.server.state is State.DRAINING:
+            self._out.append(Move(event.request))
         if node.fails:
             node.fails, node.aside_until = node.fails - 1, self._now
             if not node.fails:
@@ -222,8 +222,6 @@
         conn = self._conns.get(event.request)
         if conn is not None:
             conn.left = True
-            if conn.node is None:
-                del self._conns[event.request]
 
     # The one path of a decision.
 
@@ -374,8 +372,7 @@
 
     def _on_delay(self, event: DelayTold) -> None:
         """Danger: a crowded server keeps its share. What it holds when it tells of strain is its limit."""
-        node = self._nodes.get(event.server)
-        if node is None:
+        if (node := self._nodes.get(event.server)) is None:
             return
         if event.delay < STRAIN * self._least_aim:
             node.limit_at = self._now - LIMIT_HOLD  # calm again: the limit may rise from now on
@@ -468,6 +465,11 @@
                        if node.server.state is not State.GONE or node.held}
         self._ready = [node for node in self._nodes.values() if node.server.state is State.READY]
         self._cold = [node for node in self._ready if self._cold_age(node) is not None]
+        leaving = [conn for node in self._nodes.values() if node.server.state is State.DRAINING
+                   for conn in node.held.values() if conn.up and not conn.moving]
+        for conn in leaving:  # Danger: what still stands on a server when it goes is cut off, all at once
+            conn.moving = True
+            self._out.append(Move(conn.request.id))
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
         """Danger: a list unasked for too long counts as told. Ask again well before that, not in step."""
@@ -475,8 +477,7 @@
         if self._watching or self._asks_failed == 1:
             self._out.append(Note("roster lost, asking again"))
         self._watching = False
-        longest = self._settings.ask_within / 4
-        wait = longest / 2 ** max(0, 5 - self._asks_failed)
+        wait = self._settings.ask_within / 4 / 2 ** max(0, 5 - self._asks_failed)
         self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.5, 1.0)))
 
     def _on_load(self, event: LoadTold) -> None:
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -12,6 +12,7 @@
     Refuse,
     Result,
     RosterKind,
+    State,
     Tenant,
 )
 from tests.world import World, make_class, make_settings, server
@@ -312,3 +313,28 @@
 
     assert taken(1) == 10
     assert taken(5) == 2
+
+
+# Leaving.
+
+
+def test_clients_are_told_to_move_before_their_server_leaves() -> None:
+    world = far()
+    world.roster(server("a"), server("b"))
+    old = [world.adopt("a") for _ in range(3)]
+    stays = world.adopt("b")
+    world.roster(server("a", state=State.DRAINING), kind=RosterKind.CHANGES)
+    assert [move.request for move in world.did(Move)] == old
+    world.roster(server("a", state=State.DRAINING), server("b"))
+    assert not world.did(Move)
+    assert stays not in {move.request for move in world.actions if isinstance(move, Move)}
+
+
+def test_a_connection_that_comes_up_at_a_leaving_server_is_moved_too() -> None:
+    world = far()
+    world.roster(server("a"))
+    request = world.ask()
+    world.roster(server("a", state=State.DRAINING), server("b"))
+    assert not world.did(Move)
+    world.up(request)
+    assert [move.request for move in world.did(Move)] == [request]
