--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -57,7 +57,7 @@
         tenant = config.tenants[values["t"]] if config.tenants else 0
         index = config.classes[values["c"]]
         wait = float(values["d"]) if "d" in values else config.settings.classes[index].deadline
-        hint = float(values["h"]) * 1000.0 if "h" in values else None
+        hint = float(values["h"]) if "h" in values else None
     except (KeyError, ValueError) as error:
         raise LineError(f"{type(error).__name__}: {error}") from None
     if not 0 <= wait < 1e9 or (hint is not None and not 0 <= hint < 1e12):
@@ -103,6 +103,7 @@
             self.id = request.id
             self._node.sessions[request.id] = self
             self._counters.add("requests.taken")
+            logger.debug("{} taken: key {} {}", head.id, head.key, head.values)
             reader = asyncio.create_task(self._from_client())
             setting_up = self._adopt if "at" in head.values else self._set_up
             if await setting_up(head, request):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -237,15 +237,15 @@
     async def play() -> None:
         servers = Server("a"), Server("b")
         async with running(tmp_path, *servers) as (program, _):
-            first = await program.open(values=",h=10")
+            first = await program.open(values=",h=10000")
             assert (await first.line()).startswith(b"UP ")
             here, there = servers if servers[0].opened else servers[::-1]
-            second = await program.open(values=",h=30")
+            second = await program.open(values=",h=30000")
             assert (await second.line()).startswith(b"UP ")
             assert len(there.opened) == 1
             here.streams[0][1].write(b"LOAD 90000\r\n")
             assert await first.line() == b"LOAD 90000\r\n"
-            third = await program.open(values=",h=10")
+            third = await program.open(values=",h=10000")
             assert (await third.line()).startswith(b"UP ")
             assert len(there.opened) == 2
 
