--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -15,7 +15,7 @@
 from switchhub.decision.brain import Balancer
 from switchhub.decision.interface import Request, Result, Server, Settings
 
-TELL_EVERY = 1000.0  # a server's delay is told once a second while it is long
+TELL_EVERY = 900.0  # milliseconds: a server's delay is told once a second, somewhat less, while it is long
 TOLD_FROM = 1 / 3  # long: over this part of the shortest message aim
 
 
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -58,7 +58,6 @@
         self._sock: socket.socket | None = None
         self._version = -1
         self._addresses: dict[str, Address] = {}
-        self._zones: dict[str, int] = {}
         self._ready: set[str] = set()
         self._apply(config.known, RosterKind.REMEMBERED)
 
@@ -70,10 +69,6 @@
         """Whether something new may be sent there."""
         return server in self._ready
 
-    def zone(self, server: str) -> int:
-        """The zone that a server is in."""
-        return self._zones.get(server, -1)
-
     def ask(self) -> None:
         """The module wants a watch."""
         self._asked.set()
@@ -109,7 +104,6 @@
             self._ready.clear()
         for server, address in listing.entries:
             self._addresses[server.id] = address
-            self._zones[server.id] = server.zone
             if server.state is State.READY:
                 self._ready.add(server.id)
             else:
--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -1,30 +1,71 @@
 """What passing lines tell of each server: how long it has been silent, and how long messages take there.
 
-Owns: per server, when it answered last, and the waits for `UP`. Must never: decide what follows; it measures.
+Owns: per server, when it answered last and when it told of its delay last. Must never: decide what follows;
+it measures.
 
-Two measures of delay. The answer to a line counts as it is. Some servers answer lines before their work is
-done; there only the wait for `UP` shows strain. It counts less the network's part (the least wait from any
-server of that zone) and less the work of a set-up itself (what the quickest server takes over its network's
-part). It is smoothed, for set-ups vary, and fades, for strain passes.
+Two measures of delay. The answer to a line counts as it is, unless the server tells its delay itself. Some do,
+in the very form of a load: once a second, on one connection of each balancer, `LOAD X` holds the milliseconds
+that a message takes now, while that is long and once more when it no longer is. `LoadLines` tells them apart.
 """
 
 from __future__ import annotations
 
-import math
+from collections import deque
 
 SILENT_SUM, SILENT_LEAST = 3000.0, 1000.0  # milliseconds, over all lines that wait, and of the silence itself
-SMOOTHING = 0.5  # weight of the newest wait for `UP`
-FADES = 2000.0  # milliseconds in which an excess that nothing confirms fades to a half
+EVERY, OFF = 1000.0, 40.0  # milliseconds between two delays that a server tells, give or take
+TELLS = 1500.0  # milliseconds after a told delay in which answered lines say nothing new
+SMALL = 0.2  # part of a connection's usual load under which a told one is suspicious
+
+
+class _Line:
+    __slots__ = ("at", "before", "delay", "run", "value")
+
+    def __init__(self, at: float, value: float, before: float) -> None:
+        self.at, self.value, self.before = at, value, before
+        self.delay = False
+        self.run = 0  # lines before it, each a second after another
+
+
+class LoadLines:
+    """One connection's `LOAD` lines. A line may turn out to have been a delay when the next one comes."""
+
+    __slots__ = ("_recent", "_usual", "load")
+
+    def __init__(self, usual: float) -> None:
+        self.load = self._usual = usual
+        self._recent: deque[_Line] = deque(maxlen=4)
+
+    def is_delay(self, value: float, now: float, due: bool) -> bool:
+        """Whether this is a delay; `load` is the connection's load as now known. `due`: its server tells now.
+
+        A delay comes a second after another; that alone may be chance. So the two must also be equal, or both
+        far under the usual load, or the third in a row."""
+        line = _Line(now, value, self.load)
+        small = value <= SMALL * self._usual
+        line.delay = due and small
+        for earlier in self._recent:
+            if abs(now - earlier.at - EVERY) <= OFF:
+                line.run = max(line.run, earlier.run + 1)
+                both_small = small and earlier.value <= SMALL * self._usual
+                if earlier.delay or earlier.value == value or both_small or line.run >= 2:
+                    line.delay = True
+                    if not earlier.delay:
+                        earlier.delay = True
+                        if self.load == earlier.value:
+                            self.load = earlier.before
+        self._recent.append(line)
+        if not line.delay:
+            self.load = value
+        return line.delay
 
 
 class _Seen:
-    __slots__ = ("answered", "excess", "excess_at", "pending", "silent", "waits")
+    __slots__ = ("answered", "silent", "told")
 
     def __init__(self, now: float) -> None:
         self.answered, self.silent = now, False
-        self.pending = 0  # set-ups under way
-        self.waits = 0  # waits for `UP` that counted
-        self.excess, self.excess_at = 0.0, now
+        self.told = -TELLS
 
 
 class Health:
@@ -32,7 +73,6 @@
 
     def __init__(self) -> None:
         self._seen: dict[str, _Seen] = {}
-        self._least: dict[int, float] = {}  # the least wait for `UP` from any server of a zone
 
     def answered(self, server: str, now: float) -> None:
         """The server has answered something; loads that it tells are no answers."""
@@ -47,33 +87,17 @@
             seen.silent = silence >= max(SILENT_LEAST, SILENT_SUM / max(1, waiting))
         return seen.silent
 
-    def attempt_begun(self, server: str, now: float) -> None:
-        """A set-up is under way; `attempt_over` follows."""
-        self._get(server, now).pending += 1
+    def told(self, server: str, now: float) -> None:
+        """The server has told its delay."""
+        self._get(server, now).told = now
 
-    def attempt_over(self, server: str, zone: int, wait: float | None, now: float) -> None:
-        """It came up after this wait, or failed (no wait)."""
-        seen = self._get(server, now)
-        seen.pending -= 1
-        if wait is None:
-            return
-        self.answered(server, now)
-        self._least[zone] = min(wait, self._least.get(zone, math.inf))
-        if seen.pending:  # they queue behind each other: this says how many come, not how strained it is
-            return
-        seen.waits += 1
-        if seen.waits > 1:  # a first connection shakes hands once more
-            excess = self._faded(seen, now)
-            seen.excess = excess + SMOOTHING * (wait - self._least[zone] - excess)
-            seen.excess_at = now
-
-    def delay(self, server: str, line: float, now: float) -> float:
-        """What a message takes at the server now, a line having been answered after this long."""
-        quickest = min((each.excess for each in self._seen.values() if each.waits > 1), default=0.0)
-        return max(line, self._faded(self._get(server, now), now) - quickest)
-
-    def _faded(self, seen: _Seen, now: float) -> float:
-        return seen.excess * math.exp2((seen.excess_at - now) / FADES)
+    def due(self, server: str, now: float) -> bool:
+        """Whether the server's next telling is due now."""
+        return abs(now - self._get(server, now).told - EVERY) <= OFF
+
+    def tells(self, server: str, now: float) -> bool:
+        """Whether the server tells its delay itself at present."""
+        return now - self._get(server, now).told < TELLS
 
     def _get(self, server: str, now: float) -> _Seen:
         seen = self._seen.get(server)
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -20,6 +20,7 @@
 from switchhub.decision.facade import Adopted, Delay, Ended, Failed, Left, Load, Refused, Send, Up
 from switchhub.decision.interface import Request, Result
 from switchhub.net.config import Config
+from switchhub.net.health import LoadLines
 from switchhub.net.lines import Head, LineError, Wire, parse_head
 
 if TYPE_CHECKING:
@@ -85,6 +86,7 @@
         self._sending = self._move_asked = False
         self._stands: asyncio.Future[None] = listener.loop.create_future()
         self._done: asyncio.Future[End] = listener.loop.create_future()
+        self._loads = LoadLines(0.0)
         self._last = b""
 
     async def run(self) -> None:
@@ -101,6 +103,7 @@
                 raise LineError("this id is taken")
             self.client.take(len(line))
             self.id = request.id
+            self._loads = LoadLines(request.hint or 0.0)
             self._node.sessions[request.id] = self
             self._counters.add("requests.taken")
             logger.debug("{} taken: key {} {}", head.id, head.key, head.values)
@@ -165,13 +168,11 @@
             if isinstance(pick, Failed):
                 return self._answer("failed", FAILED)
             started = self._clock()
-            health.attempt_begun(pick.server, started)
             attempt = asyncio.create_task(self._attempt(head, pick, started))
             await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
             if not attempt.done():  # the client has left, or this balancer stops
                 attempt.cancel()
                 await asyncio.wait((attempt,))
-                health.attempt_over(pick.server, -1, None, self._clock())
                 facade.report(self._clock(), Left(request.id))
                 self._over(started, Result.CANCELLED)
                 if self._done.result() is End.STOPPED:
@@ -181,11 +182,10 @@
             result = attempt.result()
             now = self._clock()
             elapsed = now - started
-            zone = self._node.discovery.zone(pick.server)
-            health.attempt_over(pick.server, zone, elapsed if result is Result.OK else None, now)
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
             if result is Result.OK:
+                health.answered(pick.server, now)
                 facade.report(now, Up(request.id, elapsed))
                 return True
             if self.server is not None:
@@ -407,13 +407,23 @@
                 with contextlib.suppress(ValueError):
                     load = float(rest)
                     if 0 <= load < 1e15:
-                        self._node.facade.report(now, Load(self.id, load))
+                        self._read_load(now, load)
             elif word not in (b"UP", b"BYE", b"MOVE") and self._asked:
                 delay = now - self._asked.popleft()
                 self._node.health.answered(self.place, now)
                 logger.trace("{} at {}: {:.1f} ms {}", self.id, self.place, delay, line)
-                delay = self._node.health.delay(self.place, delay, now)
-                self._node.facade.report(now, Delay(self.id, delay))
+                if not self._node.health.tells(self.place, now):
+                    self._node.facade.report(now, Delay(self.id, delay))
+
+    def _read_load(self, now: float, value: float) -> None:
+        """A `LOAD` line: the connection's load, or its server's delay."""
+        health, facade, known = self._node.health, self._node.facade, self._loads.load
+        if self._loads.is_delay(value, now, health.due(self.place, now)):
+            self._counters.add("delays.told")
+            health.told(self.place, now)
+            facade.report(now, Delay(self.id, value))
+        if self._loads.load != known:
+            facade.report(now, Load(self.id, self._loads.load))
 
     def move(self) -> None:
         """Tell the client to come again, between two lines, and end both sides."""
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -97,6 +97,6 @@
     for now in range(2000, 4000, 100):
         made.report(float(now), Delay("r0", 500.0))
         moves.append(len(made.tick(float(now)).moves))
-    assert [at for at, count in enumerate(moves) if count] in ([0, 10], [0])
+    assert [at for at, count in enumerate(moves) if count] == [0, 9, 18]
     made.report(4000.0, Delay("r0", 1.0))
     assert made.tick(4000.0).moves == []
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from switchhub.net.health import Health
-
-
-def set_up(health: Health, server: str, wait: float, now: float, zone: int = 0) -> None:
-    health.attempt_begun(server, now - wait)
-    health.attempt_over(server, zone, wait, now)
+from switchhub.net.health import Health, LoadLines
 
 
 def test_a_server_is_silent_sooner_the_more_lines_wait() -> None:
@@ -29,46 +24,52 @@
     assert not health.silent("a", 3, 3000.0, 4300.0)
 
 
-def test_an_answered_line_counts_as_it_is() -> None:
-    assert Health().delay("a", 42.0, 1000.0) == 42.0
+def feed(loads: LoadLines, *lines: tuple[float, float], due: bool = False) -> list[bool]:
+    return [loads.is_delay(value, now, due) for now, value in lines]
 
 
-def test_waits_for_up_over_the_quickest_server_tell_strain_and_fade() -> None:
-    health = Health()
-    for now in range(1000, 2000, 100):
-        set_up(health, "quick", 10.0, float(now))
-        set_up(health, "slow", 110.0, float(now))
-    assert health.delay("quick", 0.1, 2000.0) == 0.1
-    assert 90.0 < health.delay("slow", 0.1, 2000.0) <= 100.0
-    assert 40.0 < health.delay("slow", 0.1, 4000.0) < 51.0
+def test_loads_change_when_they_like_and_are_loads() -> None:
+    loads = LoadLines(20_000.0)
+    assert feed(loads, (0.0, 30_000.0), (700.0, 500.0), (3300.0, 400.0), (4300.0, 90_000.0)) == [False] * 4
+    assert loads.load == 90_000.0
 
 
-def test_far_servers_are_not_strained_for_being_far() -> None:
-    health = Health()
-    for now in range(1000, 2000, 100):
-        set_up(health, "near", 5.0, float(now))
-        set_up(health, "far", 45.0, float(now), zone=1)
-    assert health.delay("far", 0.1, 2000.0) == 0.1
+def test_small_values_a_second_apart_are_delays_and_the_load_is_put_right() -> None:
+    loads = LoadLines(20_000.0)
+    assert feed(loads, (0.0, 30_000.0), (2000.0, 18.3)) == [False, False]
+    assert loads.load == 18.3
+    assert feed(loads, (3000.0, 23.5)) == [True]
+    assert loads.load == 30_000.0
+    assert feed(loads, (3400.0, 50_000.0), (4010.0, 333.7), (4990.0, 14.2)) == [False, True, True]
+    assert loads.load == 50_000.0
+
 
+def test_equal_values_a_second_apart_are_delays_at_any_height() -> None:
+    loads = LoadLines(500.0)
+    assert feed(loads, (0.0, 700.0), (1000.0, 15_880.2), (2000.0, 15_880.2)) == [False, False, True]
+    assert loads.load == 700.0
 
-def test_a_first_wait_and_waits_behind_our_own_set_ups_do_not_count() -> None:
+
+def test_the_third_in_a_row_is_a_delay_at_any_height() -> None:
+    loads = LoadLines(500.0)
+    assert feed(loads, (0.0, 8296.0), (1000.0, 9296.0), (2000.0, 10_296.0)) == [False, False, True]
+
+
+def test_another_connection_goes_on_with_what_its_server_tells() -> None:
     health = Health()
-    set_up(health, "quick", 10.0, 1000.0)
-    set_up(health, "quick", 10.0, 1100.0)
-    set_up(health, "slow", 200.0, 1200.0)
-    assert health.delay("slow", 0.1, 1200.0) == 0.1
-    for _ in range(3):
-        health.attempt_begun("slow", 1300.0)
-    for left in (2, 1):
-        health.attempt_over("slow", 0, 300.0, 1600.0)
-        assert health.delay("slow", 0.1, 1600.0) == 0.1, left
-    health.attempt_over("slow", 0, 300.0, 1600.0)
-    assert health.delay("slow", 0.1, 1600.0) > 100.0
-
-
-def test_failed_set_ups_leave_no_wait_behind() -> None:
+    health.told("a", 1000.0)
+    assert health.due("a", 2010.0)
+    assert not health.due("a", 1500.0)
+    assert not health.due("b", 2000.0)
+    loads = LoadLines(20_000.0)
+    assert feed(loads, (2010.0, 333.0), due=True) == [True]
+    assert feed(loads, (2015.0, 30_000.0), due=True) == [False]
+    assert loads.load == 30_000.0
+
+
+def test_while_a_server_tells_its_delay_answered_lines_say_nothing() -> None:
     health = Health()
-    for now in (1000.0, 1100.0, 1200.0):
-        health.attempt_begun("a", now)
-        health.attempt_over("a", 0, None, now)
-    assert health.delay("a", 0.1, 1200.0) == 0.1
+    assert not health.tells("a", 1000.0)
+    health.told("a", 1000.0)
+    assert health.tells("a", 2400.0)
+    assert not health.tells("a", 2600.0)
