--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -3,9 +3,10 @@
 Owns: per server, when it answered last and when it told of its delay last. Must never: decide what follows;
 it measures.
 
-Two measures of delay. The answer to a line counts as it is, unless the server tells its delay itself. Some do,
-in the very form of a load: once a second, on one connection of each balancer, `LOAD X` holds the milliseconds
-that a message takes now, while that is long and once more when it no longer is. `LoadLines` tells them apart.
+Two measures of delay. The answer to a line counts as it is, unless the server tells its delay itself. Some
+do, in the very form of a load: once a second, on one connection of each balancer, `LOAD X` holds the
+milliseconds that a message takes now, while that is long and once more when it no longer is. `LoadLines`
+tells the two apart.
 """
 
 from __future__ import annotations
