--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -58,6 +58,7 @@
         self._recent.append(line)
         if not line.delay:
             self.load = value
+            self._usual = self._usual or value  # without a hint, the first load told
         return line.delay
 
 
