--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -260,7 +260,13 @@
         self.place = server
         self._node.facade.report(started, Adopted(request, server))
         while not self._done.done():
-            result = await self._adopt_once(head, server, ends)
+            attempt = asyncio.create_task(self._adopt_once(head, server, ends))
+            await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
+            if not attempt.done():  # the client has left, or this balancer stops
+                attempt.cancel()
+                await asyncio.wait((attempt,))
+                break
+            result = attempt.result()
             if result is Result.OK:
                 self._node.health.answered(server, self._clock())
                 return True
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import struct
@@ -271,6 +272,7 @@
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(path / "config.json")},
         stderr=asyncio.subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
     )
     assert process.stderr is not None
     try:
