Slow clients are not taken for silent servers; defects end a session, not the balancer; heads by a set time

At fault, by reading: session.check counted a line as unanswered while our own send to the client was blocked, so a client that does not read for 5 s was cut off without MOVE; an unexpected error in a pump left its session hanging, one in discovery or housekeeping ended the program; a first line could trickle in forever.

--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -18,7 +18,7 @@
 
 from switchhub.decision.facade import Facade, Roster, RosterLost
 from switchhub.decision.interface import RosterKind, State
-from switchhub.net.config import Address, Config, ConfigError, Listing, parse_listing
+from switchhub.net.config import Address, Config, Listing, parse_listing
 from switchhub.net.counters import Counters
 
 WAIT_MS = 10_000  # how long a watch may wait for news
@@ -84,13 +84,7 @@
                         listing = await self._call()
                         kind = RosterKind.WHOLE if listing.full else RosterKind.CHANGES
                         self._apply(listing, kind)
-                except (
-                    OSError,
-                    TimeoutError,
-                    DiscoveryError,
-                    ConfigError,
-                    httptools.HttpParserError,
-                ) as error:
+                except Exception as error:  # whatever it says or fails to say must not end the balancer
                     logger.warning("discovery: {}: {}", type(error).__name__, error)
                     self._counters.add("discovery.failed")
                     self._close()
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -116,10 +116,14 @@
         checked = self.loop.time()
         while True:
             await asyncio.sleep(TICK)
-            self._chores()
-            if self.loop.time() - checked >= CHECK:
-                checked = self.loop.time()
-                self._check(self.clock())
+            try:
+                self._chores()
+                if self.loop.time() - checked >= CHECK:
+                    checked = self.loop.time()
+                    self._check(self.clock())
+            except Exception:  # a defect of ours; the connections that stand are worth more
+                self.counters.add("errors")
+                logger.exception("housekeeping broke")
 
     def _check(self, now: float) -> None:
         """End what a silent server or a vanished client has left behind."""
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -27,13 +28,15 @@
     from switchhub.net.listener import Listener
 
 EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
-HEAD_WITHIN = 5.0  # seconds in which a new connection must have sent its first line
+HEAD_WITHIN = 5.0  # seconds in which a first line must be whole once it has begun
+IDLE_WITHIN = 15.0  # seconds in which it must have begun
 FINISH_WITHIN = 1.0  # seconds that an ended connection's other side has to end too
 SILENT_AFTER = 5000.0  # milliseconds without an answer to a line after which a connection counts as silent
 SILENT_TOO = 250.0  # the same, while its server is silent to all
 VANISHED_AFTER = 60_000.0  # milliseconds without a line after which a client counts as vanished
 ADOPT_WITHIN, ADOPT_RETRY = 38.0, 0.5  # seconds for a connection of before the start to stand again
 MESSAGES_KEPT = 16  # unanswered lines whose times are kept
+PARTING = {b"BYE": Result.OK, b"MOVE": Result.CANCELLED}  # a server's last words
 FAILED = b"FAILED\r\n"
 MOVE = b"MOVE\r\n"
 PING, PONG = b"PING\r\n", b"PONG\r\n"
@@ -136,11 +139,14 @@
     async def _first_line(self) -> memoryview | None:
         """The line that begins the connection; `PING`s before it are answered. Nothing if none came."""
         ended = False
+        whole_by = math.inf
         while not ended:
             line = self.client.line()
             if line is None:
+                now = self._node.loop.time()
+                whole_by = min(whole_by, now + HEAD_WITHIN) if len(self.client.rest()) else now + IDLE_WITHIN
                 try:
-                    async with asyncio.timeout(HEAD_WITHIN):
+                    async with asyncio.timeout_at(whole_by):
                         ended = not await self.client.fill()
                 except TimeoutError:
                     ended = True
@@ -317,13 +323,7 @@
             return Result.CANCELLED
         end = self._done.result()
         if end is End.SERVER:
-            return (
-                Result.OK
-                if self._last == b"BYE"
-                else Result.CANCELLED
-                if self._last == b"MOVE"
-                else Result.RESET
-            )
+            return PARTING.get(self._last, Result.RESET)
         return Result.RESET if end in (End.SERVER_RESET, End.SILENT) else Result.CANCELLED
 
     def _over(self, started: float, result: Result) -> None:
@@ -334,6 +334,12 @@
         if not self._done.done():
             self._done.set_result(end)
 
+    def _broken(self, end: End) -> None:
+        """A defect of ours: the log has it, and the connection ends instead of hanging."""
+        logger.exception("a session broke")
+        self._counters.add("errors")
+        self._finish(end)
+
     async def _from_client(self) -> None:
         """Client to server. Before `UP` it only notices that the client has left."""
         client = self.client
@@ -354,6 +360,8 @@
             self._finish(End.CLIENT)
         except OSError:
             self._finish(End.CLIENT_RESET)
+        except Exception:
+            self._broken(End.CLIENT)
 
     async def _to_server(self, data: memoryview) -> None:
         if self.server is None:
@@ -386,6 +394,8 @@
             self._finish(End.SERVER_RESET)
         except OSError:
             self._finish(End.SERVER_RESET)
+        except Exception:
+            self._broken(End.SERVER)
 
     async def _to_client(self, data: memoryview) -> None:
         self._sending = True
@@ -446,16 +456,15 @@
         self._finish(End.STOPPED)
 
     def waits(self, now: float) -> float:
-        """For how long a line has waited for its answer."""
-        return now - self._asked[0] if self.up and self._asked else 0.0
+        """For how long a line has waited for its answer; a client that takes nothing is no silent server."""
+        return now - self._asked[0] if self.up and self._asked and not self._sending else 0.0
 
     def check(self, now: float, server_silent: bool) -> None:
         """Called a few times a second: is either side silent?"""
         if not self.up or self._done.done():
             return
         if self.waits(now) > (SILENT_TOO if server_silent else SILENT_AFTER):
-            if not self._sending:
-                self.client.say(MOVE)
+            self.client.say(MOVE)
             self._finish(End.SILENT)
         elif now - self._heard > VANISHED_AFTER:
             self._finish(End.CLIENT)
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,84 @@
+"""A session's own judgement of silence, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from types import SimpleNamespace
+from typing import Any, cast
+
+from switchhub.net.counters import Counters
+from switchhub.net.lines import Sockets
+from switchhub.net.session import SILENT_AFTER, SILENT_TOO, VANISHED_AFTER, Session
+
+
+class Played:
+    """A standing session whose one line went out at 1000."""
+
+    def __init__(self) -> None:
+        here, self.client = socket.socketpair()
+        node: Any = SimpleNamespace(
+            counters=Counters(),
+            clock=lambda: 1000.0,
+            sockets=Sockets(100),
+            loop=asyncio.get_running_loop(),
+        )
+        self.session = Session(cast(Any, node), here)
+        self.session.up = True
+        self.session._asked.append(1000.0)
+
+    def heard(self) -> bytes:
+        self.client.setblocking(False)
+        try:
+            return self.client.recv(100)
+        except BlockingIOError:
+            return b""
+
+    def close(self) -> None:
+        self.session.client.close()
+        self.client.close()
+
+
+def play(at: float, server_silent: bool = False, sending: bool = False, asked: bool = True) -> bytes:
+    """What the client hears when the session looks at this time; only who is told is given up."""
+
+    async def run() -> bytes:
+        played = Played()
+        played.session._sending = sending
+        if not asked:
+            played.session._asked.clear()
+        played.session.check(at, server_silent)
+        heard = played.heard()
+        assert played.session._done.done() is bool(heard)
+        played.close()
+        return heard
+
+    return asyncio.run(run())
+
+
+def test_a_line_that_waits_long_moves_the_client() -> None:
+    assert play(1000.0 + SILENT_AFTER - 1) == b""
+    assert play(1000.0 + SILENT_AFTER + 1) == b"MOVE\r\n"
+
+
+def test_sooner_when_the_server_is_silent_to_all() -> None:
+    assert play(1000.0 + SILENT_TOO - 1, server_silent=True) == b""
+    assert play(1000.0 + SILENT_TOO + 1, server_silent=True) == b"MOVE\r\n"
+    assert play(1000.0 + SILENT_AFTER + 1, server_silent=True, asked=False) == b""
+
+
+def test_a_client_that_takes_nothing_is_not_the_servers_silence() -> None:
+    assert play(1000.0 + SILENT_AFTER + 1, sending=True) == b""
+
+
+def test_a_vanished_client_is_given_up() -> None:
+    async def run() -> None:
+        played = Played()
+        played.session._asked.clear()
+        played.session.check(1000.0 + VANISHED_AFTER - 1, False)
+        assert not played.session._done.done()
+        played.session.check(1000.0 + VANISHED_AFTER + 1, False)
+        assert played.session._done.done()
+        played.close()
+
+    asyncio.run(run())
