What servers tell is taken from the settings; a LOAD far too small for a load is a delay at once

TellsLoad and TellsDelay of the settings say what a LOAD line may be; where only delays are told, each one is a delay.

--- a/switchhub/net/config.py
+++ b/switchhub/net/config.py
@@ -52,6 +52,8 @@
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
     dial_timeout: float
+    tells_load: bool
+    tells_delay: bool
     known: Listing
 
 
@@ -140,6 +142,8 @@
             zones=zones,
             kinds=kinds,
             dial_timeout=float(pairs["Allowed.DialTimeout"]),
+            tells_load=pairs.get("FamilyInfo.TellsLoad", "true") == "true",
+            tells_delay=pairs.get("FamilyInfo.TellsDelay", "true") == "true",
             known=parse_listing(data["known"], zones, kinds),
         )
     except (OSError, WireError, KeyError, TypeError, ValueError) as error:
--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -17,6 +17,7 @@
 EVERY, OFF = 1000.0, 40.0  # milliseconds between two delays that a server tells, give or take
 TELLS = 1500.0  # milliseconds after a told delay in which answered lines say nothing new
 SMALL = 0.2  # part of a connection's usual load under which a told one is suspicious
+TINY = 1 / 250  # and under which it can't be one
 
 
 class _Line:
@@ -40,11 +41,11 @@
     def is_delay(self, value: float, now: float, due: bool) -> bool:
         """Whether this is a delay; `load` is the connection's load as now known. `due`: its server tells now.
 
-        A delay comes a second after another; that alone may be chance. So the two must also be equal, or both
-        far under the usual load, or the third in a row."""
+        One far too small for a load is a delay at once. Else one comes a second after another; that alone may
+        be chance, so the two must also be equal, or both far under the usual load, or the third in a row."""
         line = _Line(now, value, self.load)
         small = value <= SMALL * self._usual
-        line.delay = due and small
+        line.delay = (due and small) or value <= TINY * self._usual
         for earlier in self._recent:
             if abs(now - earlier.at - EVERY) <= OFF:
                 line.run = max(line.run, earlier.run + 1)
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -434,10 +434,17 @@
     def _read_load(self, now: float, value: float) -> None:
         """A `LOAD` line: the connection's load, or its server's delay."""
         health, facade, known = self._node.health, self._node.facade, self._loads.load
-        if self._loads.is_delay(value, now, health.due(self.place, now)):
+        config = self._node.config
+        if not config.tells_load:
+            delay = config.tells_delay
+        else:
+            delay = config.tells_delay and self._loads.is_delay(value, now, health.due(self.place, now))
+        if delay:
             self._counters.add("delays.told")
             health.told(self.place, now)
             facade.report(now, Delay(self.id, value))
+        elif not config.tells_delay:
+            self._loads.load = value
         if self._loads.load != known:
             facade.report(now, Load(self.id, self._loads.load))
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -118,3 +118,11 @@
     data = {"version": 2, "full": False, "servers": [{"id": "s", "addr": "h:1", "state": "Gone"}]}
     (entry,) = parse_listing(data, {}, {}).entries
     assert entry.server == ("s", -1, -1, -1, State.GONE, 1.0, 0.0)
+
+
+def test_what_servers_tell(tmp_path: Path) -> None:
+    config = read_config(write(tmp_path, told()))
+    assert (config.tells_load, config.tells_delay) == (True, True)
+    family = {"MessageAim": [50.0, 50.0], "TellsLoad": False, "TellsDelay": True}
+    config = read_config(write(tmp_path, told(settings=settings(FamilyInfo=family))))
+    assert (config.tells_load, config.tells_delay) == (False, True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -377,3 +377,25 @@
             assert await program.stop() == 0
 
     asyncio.run(play())
+
+
+def test_where_only_delays_are_told_a_load_line_is_one(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers = Server("a"), Server("b")
+        family = {"MessageAim": [50.0, 50.0], "TellsLoad": False, "TellsDelay": True}
+        async with running(tmp_path, *servers, told=settings(FamilyInfo=family)) as (program, _):
+            first = await program.open(values=",h=10000")
+            assert (await first.line()).startswith(b"UP ")
+            here, there = servers if servers[0].opened else servers[::-1]
+            here.streams[0][1].write(
+                b"LOAD 500\r\n"
+            )  # half a second a message: strained, its sum is its limit
+            assert await first.line() == b"LOAD 500\r\n"
+            for _ in range(3):
+                client = await program.open(values=",h=9000")
+                assert (await client.line()).startswith(b"UP ")
+            assert (len(here.opened), len(there.opened)) == (1, 3)
+            program.process.send_signal(signal.SIGUSR1)
+            assert "delays.told=1" in await program.logged("counters")
+
+    asyncio.run(play())
