Clients without a request are bounded and answered or closed within two seconds

Debug logs show what they send: unknown classes, taken ids, no id, half lines, bytes, 4 KiB and more without an end, d= empty, in words or of 23 digits; 816 connections never sent a whole line. Checked: memory (23 of 80 MB) and CPU (0.3 s in the worst second) were not short; the servers were not the cause of the refusals, for "not sent" came from our own bound on sockets. Nothing bad reached a server. Wrong lines: session.py HEAD_WITHIN and IDLE_WITHIN (5 s and 15 s, owed within 3 s), _from_client, which kept lines sent before UP and so did not see the client's end; read_request's float(); lines.py Sockets.to_server, which counted silent clients against requests; listener.py _accept, which slept and spun on EMFILE. Now: loose sockets hold an eighth at most, the longest silent goes first; heads to the letter; ERR; ids of ended connections stay taken for a while; what is sent on after ERR is read into one shared buffer. A test that depended on when a move went out is put right on the way.

--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -1,7 +1,8 @@
 """One socket and the bytes read from it that nobody has taken yet; the head of a connection.
 
-Owns: a socket (given back by `close`, and nowhere else) and one buffer of fixed size. Must never: grow the
-buffer, take a line that has not ended, or change a byte of what passes through.
+Owns: a socket (given back by `close`, and nowhere else) and one buffer of fixed size; the count of all open
+sockets, and which of them no request needs. Must never: grow a buffer, take a line that has not ended, change
+a byte of what passes through, or let those who say nothing hold what requests need.
 """
 
 from __future__ import annotations
@@ -9,13 +10,22 @@
 import asyncio
 import contextlib
 import errno
+import re
 import socket
 import struct
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 LINE_MAX = 4096
 FOR_FILES = 32  # descriptors that are no connections: the log, the event loop, discovery, the listener
-FOR_SERVERS = 0.8  # part of the sockets at which none is opened to servers any more
+FOR_SERVERS = 0.9  # part of the sockets that requests and their servers may hold
+FOR_LOOSE = (
+    0.125  # part of the sockets over which those no request needs are given up, the longest silent first
+)
+PATIENCE, PATIENCE_AT_NEED = 0.25, 0.02  # seconds that each of them is given, and when sockets run out
+SPARE = 4  # sockets short of all at which they have run out
+_SINK = memoryview(bytearray(65536))  # what nobody wants to read goes here, whoever sent it
+_WORD = re.compile(r"[0-9A-Za-z._/-]{1,64}")  # an id, a key
 _LINGER_NONE = struct.pack("ii", 1, 0)
 _LF = 10
 
@@ -25,15 +35,26 @@
 
 
 class Sockets:
-    """Counts the sockets that are open, and keeps some of what is allowed for clients that come."""
+    """Counts the sockets that are open, and keeps what is allowed for requests.
+
+    Loose sockets are those that no request needs: clients that have said nothing yet, and connections that
+    have ended but for the other side's end. Each waits in a time-out; giving it up brings that forward."""
 
     def __init__(self, allowed: int) -> None:
         self._allowed = allowed - FOR_FILES
         self.open = 0
+        self._silent: dict[Wire, tuple[float, asyncio.Timeout]] = {}  # the longest silent first
+        self._ending: dict[Wire, tuple[float, asyncio.Timeout]] = {}
+
+    @property
+    def loose(self) -> int:
+        """How many sockets no request needs."""
+        return len(self._silent) + len(self._ending)
 
     def to_server(self) -> Wire:
         """A new socket for a server; `OSError` where only those for clients are left."""
-        if self.open >= self._allowed * FOR_SERVERS:
+        self.relieve()
+        if self.open - self.loose >= self._allowed * FOR_SERVERS or self.out:
             raise OSError(errno.EMFILE, "sockets are kept for clients")
         return Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM), self)
 
@@ -41,6 +62,44 @@
         """An accepted socket."""
         return Wire(sock, self)
 
+    def loosen(self, wire: Wire, wait: asyncio.Timeout, ending: bool) -> None:
+        """No request needs this one; it waits for its other side in this time-out."""
+        (self._ending if ending else self._silent)[wire] = asyncio.get_running_loop().time(), wait
+
+    def settle(self, wire: Wire) -> None:
+        """It waits no more."""
+        self._silent.pop(wire, None)
+        self._ending.pop(wire, None)
+
+    def relieve(self) -> int:
+        """Give up loose sockets that are too many; how many. They close in the loop's next round."""
+        given_up = 0
+        now = asyncio.get_running_loop().time()
+        while (wire := self._too_many(now, self.open - given_up)) is not None:
+            _, wait = (self._silent if wire in self._silent else self._ending).pop(wire)
+            if not wait.expired():
+                wait.reschedule(now)
+                given_up += 1
+        return given_up
+
+    def _too_many(self, now: float, left: int) -> Wire | None:
+        """Which to give up next: the longest silent, then the longest ending."""
+        out = left > self._allowed - SPARE
+        if not out and self.loose <= self._allowed * FOR_LOOSE:
+            return None
+        least = PATIENCE_AT_NEED if out else PATIENCE
+        for waiting, patience in ((self._silent, PATIENCE), (self._ending, least), (self._silent, least)):
+            for wire, (since, _) in waiting.items():
+                if now - since >= patience:
+                    return wire
+                break
+        return None
+
+    @property
+    def out(self) -> bool:
+        """Whether another client can't be taken in."""
+        return self.open >= self._allowed + FOR_FILES // 2
+
 
 class Wire:
     """A non-blocking socket that speaks lines."""
@@ -116,18 +175,29 @@
         if self.closed:
             return
         self.closed = True
+        self._sockets.settle(self)
         self._sockets.open -= 1
         if reset:
             with contextlib.suppress(OSError):
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
         self.sock.close()
 
+    @contextlib.asynccontextmanager
+    async def loose(self, within: float, ending: bool) -> AsyncIterator[None]:
+        """A wait with no request behind it; `TimeoutError` after that time, or when sockets run short."""
+        async with asyncio.timeout(within) as wait:
+            self._sockets.loosen(self, wait, ending)
+            try:
+                yield
+            finally:
+                self._sockets.settle(self)
+
     async def finish(self, within: float) -> None:
         """End in order: what was written arrives, for the unread is read before the socket is given back."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            async with asyncio.timeout(within):
-                while await asyncio.get_running_loop().sock_recv_into(self.sock, self._view):
+            async with self.loose(within, ending=True):
+                while await asyncio.get_running_loop().sock_recv_into(self.sock, _SINK):
                     pass
         except (OSError, TimeoutError):
             pass
@@ -155,14 +225,14 @@
         parts = raw[:-2].decode("ascii").split(" ")
     except UnicodeDecodeError:
         raise LineError("not ASCII") from None
-    if len(parts) != 4 or parts[0] != "OPEN" or not parts[1]:
+    if len(parts) != 4 or parts[0] != "OPEN" or not (_WORD.fullmatch(parts[1]) and _WORD.fullmatch(parts[2])):
         raise LineError("not OPEN ID KEY VALUES")
     values: dict[str, str] = {}
     at = len(raw) - 2 - len(parts[3])
     cut = (len(raw), len(raw))
     for part in parts[3].split(","):
         name, sep, value = part.partition("=")
-        if not name or not sep or name in values:
+        if not name or not sep or name in values or not part.isprintable():
             raise LineError(f"not name=value: {part[:40]!r}")
         values[name] = value
         if name == "d":
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -32,10 +32,33 @@
 LINGER = 0.45  # seconds after a stop's start in which new connections still come: the moved would come back
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
 MOVING = 0.5  # part of what is left after that in which everybody is moved, evenly
+IDS_KEPT = 2048  # ids of ended connections that are remembered
 FIXED = ("name", "listen", "sockets", "settings")  # what a reload leaves as it was at the start
 LAST_ANSWERS = 0.1  # seconds in which what is still open is answered at the very end
 
 
+class Ids:
+    """The ids of connections that are open or were lately: each is good for one."""
+
+    def __init__(self) -> None:
+        self._open: set[str] = set()
+        self._ended: dict[str, None] = {}  # the oldest first
+
+    def take(self, name: str) -> bool:
+        """Whether it is free; from now on it is not."""
+        if name in self._open or name in self._ended:
+            return False
+        self._open.add(name)
+        return True
+
+    def end(self, name: str) -> None:
+        """Its connection has ended; it is remembered for a while."""
+        self._open.discard(name)
+        self._ended[name] = None
+        if len(self._ended) > IDS_KEPT:
+            del self._ended[next(iter(self._ended))]
+
+
 class Listener:
     """One balancer."""
 
@@ -49,6 +72,7 @@
         self.health = Health()
         self.sockets = Sockets(config.sockets)
         self.sessions: dict[str, Session] = {}
+        self.ids = Ids()
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -107,10 +131,18 @@
             except OSError as error:  # EMFILE, or gone again
                 logger.warning("accept: {}", error)
                 self.counters.add("accept.failed")
+                self.sockets.relieve()
                 await asyncio.sleep(NO_DESCRIPTORS)
                 continue
             self.counters.add("accepted")
             self._start(Session(self, sock).run())
+            given_up = self.sockets.relieve()
+            if given_up:
+                self.counters.add("clients.given_up", given_up)
+            while self.sockets.out:  # the backlog holds the rest until something closes
+                self.counters.add("accept.waits")
+                self.sockets.relieve()
+                await asyncio.sleep(NO_DESCRIPTORS)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-import math
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -28,16 +28,21 @@
     from switchhub.net.listener import Listener
 
 EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
-HEAD_WITHIN = 5.0  # seconds in which a first line must be whole once it has begun
-IDLE_WITHIN = 15.0  # seconds in which it must have begun
+HEAD_WITHIN = 2.0  # seconds from its connecting in which a client's first line must be whole
+PINGS_MAX = 8  # that may come before it
 FINISH_WITHIN = 1.0  # seconds that an ended connection's other side has to end too
 SILENT_AFTER = 5000.0  # milliseconds without an answer to a line after which a connection counts as silent
 SILENT_TOO = 250.0  # the same, while its server is silent to all
 VANISHED_AFTER = 60_000.0  # milliseconds without a line after which a client counts as vanished
 ADOPT_WITHIN, ADOPT_RETRY = 38.0, 0.5  # seconds for a connection of before the start to stand again
+WAIT_MAX, HINT_MAX = 1e7, 1e12  # a `d` or an `h` that no client can mean
+SHOWN = 100  # bytes of a malformed line that the log shows
 MESSAGES_KEPT = 16  # unanswered lines whose times are kept
 PARTING = {b"BYE": Result.OK, b"MOVE": Result.CANCELLED}  # a server's last words
+_FIGURE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?")
+_FLAGS = {"0": False, "1": True}
 FAILED = b"FAILED\r\n"
+ERR = b"ERR\r\n"  # to what is no request
 MOVE = b"MOVE\r\n"
 PING, PONG = b"PING\r\n", b"PONG\r\n"
 
@@ -52,6 +57,14 @@
     SILENT = "silent"
     MOVED = "moved"
     STOPPED = "stopped"
+    EARLY = "early"
+
+
+def _figure(text: str, most: float) -> float:
+    """A plain decimal figure; `float` alone would also take `1_0`, ` 1`, `1e3`, `-1` and `nan`."""
+    if not _FIGURE.fullmatch(text) or float(text) > most:
+        raise ValueError(f"not a figure: {text[:20]!r}")
+    return float(text)
 
 
 def read_request(head: Head, config: Config) -> Request:
@@ -60,15 +73,12 @@
     try:
         tenant = config.tenants[values["t"]] if config.tenants else 0
         index = config.classes[values["c"]]
-        wait = float(values["d"]) if "d" in values else config.settings.classes[index].deadline
-        hint = float(values["h"]) if "h" in values else None
+        wait = _figure(values["d"], WAIT_MAX)
+        hint = _figure(values["h"], HINT_MAX) if "h" in values else None
+        again, _ = _FLAGS[values.get("again", "0")], _FLAGS[values.get("r", "0")]
     except (KeyError, ValueError) as error:
         raise LineError(f"{type(error).__name__}: {error}") from None
-    if not 0 <= wait < 1e9 or (hint is not None and not 0 <= hint < 1e12):
-        raise LineError("a figure is out of range")
-    return Request(
-        head.id, index, wait - EARLY, tenant, hint, head.key, values.get("g"), values.get("again") == "1"
-    )
+    return Request(head.id, index, wait - EARLY, tenant, hint, head.key, values.get("g"), again)
 
 
 class Session:
@@ -102,7 +112,9 @@
                 return
             head = parse_head(line)
             request = read_request(head, self._node.config)
-            if request.id in self._node.sessions:
+            if len(self.client.rest()) > len(line):
+                raise LineError("a client waits for its answer")
+            if not self._node.ids.take(request.id):
                 raise LineError("this id is taken")
             self.client.take(len(line))
             self.id = request.id
@@ -115,9 +127,14 @@
             if await setting_up(head, request):
                 reset = await self._relay(request)
         except LineError as error:
-            logger.debug("malformed: {}", error)
+            logger.debug("malformed: {}: {}", error, self.client.rest()[:SHOWN].tobytes())
             self._counters.add("answers.malformed")
-            self.client.say(FAILED)
+            self.client.say(ERR)
+        except TimeoutError:
+            self._counters.add("clients.silent")
+            if len(self.client.rest()):
+                self.client.say(ERR)
+            reset = True
         except OSError as error:
             logger.debug("client lost: {}", error)
             self._counters.add("clients.lost")
@@ -130,33 +147,33 @@
         finally:
             if reader is not None:
                 reader.cancel()
-            self._node.sessions.pop(self.id, None)
+            if self.id:
+                del self._node.sessions[self.id]
+                self._node.ids.end(self.id)
             if self.server is not None:
                 self._node.give_back(self.server, reset)
                 self.server = None
             self._node.give_back(self.client, reset)
 
     async def _first_line(self) -> memoryview | None:
-        """The line that begins the connection; `PING`s before it are answered. Nothing if none came."""
-        ended = False
-        whole_by = math.inf
-        while not ended:
-            line = self.client.line()
-            if line is None:
-                now = self._node.loop.time()
-                whole_by = min(whole_by, now + HEAD_WITHIN) if len(self.client.rest()) else now + IDLE_WITHIN
-                try:
-                    async with asyncio.timeout_at(whole_by):
-                        ended = not await self.client.fill()
-                except TimeoutError:
-                    ended = True
-            elif line.tobytes() == PING:
-                self.client.take(len(line))
-                self._counters.add("pings")
-                await self.client.send(PONG)
-            else:
-                self._heard = self._clock()
-                return line
+        """The line that begins the connection; `PING`s before it are answered. Nothing if none came.
+
+        `TimeoutError` if it does not come in time, or the client is given up for others."""
+        pings = 0
+        async with self.client.loose(HEAD_WITHIN, ending=False):
+            while True:
+                line = self.client.line()
+                if line is None:
+                    if not await self.client.fill():
+                        break
+                elif line.tobytes() == PING and pings < PINGS_MAX:
+                    pings += 1
+                    self.client.take(len(line))
+                    self._counters.add("pings")
+                    await self.client.send(PONG)
+                else:
+                    self._heard = self._clock()
+                    return line
         if len(self.client.rest()):
             raise LineError("half a line")
         return None
@@ -183,6 +200,8 @@
                 self._over(started, Result.CANCELLED)
                 if self._done.result() is End.STOPPED:
                     return self._answer("failed", FAILED)
+                if self._done.result() is End.EARLY:
+                    return self._answer("early", ERR)
                 self._counters.add("clients.left")
                 return False
             result = attempt.result()
@@ -215,7 +234,8 @@
         try:
             server = self.server = self._node.sockets.to_server()
         except OSError as error:  # out of descriptors: this says nothing of the server
-            logger.warning("no socket for an attempt: {}", error)
+            logger.debug("no socket for an attempt: {}", error)
+            self._counters.add("attempts.no_socket")
             return Result.NOT_SENT
         self._counters.add("attempts")
         self.place = pick.server
@@ -341,21 +361,21 @@
         self._finish(end)
 
     async def _from_client(self) -> None:
-        """Client to server. Before `UP` it only notices that the client has left."""
+        """Client to server. Before `UP` it only notices that the client has left, or does not wait."""
         client = self.client
         try:
-            while True:
+            while await client.fill():
+                if not self._stands.done():
+                    return self._finish(End.EARLY)
+                self._heard = self._clock()
                 lines = client.lines()
                 if len(lines):
-                    await self._stands
                     self._asked.append(self._heard)
                     await self._to_server(lines)
                     client.take(len(lines))
-                if not await client.fill():
-                    if len(client.rest()) and self.up:
-                        await self._to_server(client.rest())
-                    return self._finish(End.CLIENT)
-                self._heard = self._clock()
+            if len(client.rest()) and self.up:
+                await self._to_server(client.rest())
+            self._finish(End.CLIENT)
         except LineError:
             self._finish(End.CLIENT)
         except OSError:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -311,3 +311,8 @@
     sock: socket.socket = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.close()
+
+
+def memory(pid: int) -> int:
+    """Bytes that the process holds."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize()
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -111,13 +111,13 @@
 
 def test_sockets_are_counted_and_some_kept_for_clients() -> None:
     async def play() -> None:
-        sockets = Sockets(42)  # ten besides those for files, eight of them for anything
-        wires = [sockets.to_server() for _ in range(8)]
+        sockets = Sockets(42)  # ten besides those for files, nine of them for requests
+        wires = [sockets.to_server() for _ in range(9)]
         with pytest.raises(OSError, match="kept for clients"):
             sockets.to_server()
         here, there = socket.socketpair()
         client = sockets.of_client(here)
-        assert sockets.open == 9
+        assert sockets.open == 10
         for wire in (*wires, client):
             wire.close()
             wire.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 from pathlib import Path
 
 import pytest
 
-from tests.rig import WITHIN, Client, Server, running, settings
+from tests.rig import WITHIN, Client, Server, memory, running, settings
 
 
 def test_answers_ping_also_in_pieces(tmp_path: Path) -> None:
@@ -137,50 +138,160 @@
     b"\r\n",
     b"OPEN\r\n",
     b"OPEN 1 2\r\n",
+    b"OPEN  2 c=any,t=acme,d=100\r\n",
+    b"OPEN 1;1 2 c=any,t=acme,d=100\r\n",
+    b"OPEN 1 2\t c=any,t=acme,d=100\r\n",
     b"CLOSE 1 2 c=any,t=acme,d=100\r\n",
     b"OPEN 1 2 c=any,t=acme,d=100\n",
     b"OPEN 1 2 c=none,t=acme,d=100\r\n",
     b"OPEN 1 2 c=any,t=none,d=100\r\n",
+    b"OPEN 1 2 c=any,t=acme\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=\r\n",
     b"OPEN 1 2 c=any,t=acme,d=soon\r\n",
     b"OPEN 1 2 c=any,t=acme,d=nan\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=1_0\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=1e3\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=+100\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=-100\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=99999999999999999999999\r\n",
     b"OPEN 1 2 c=any,t=acme,d=100,h=-1\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=100,h=inf\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=100,again=yes\r\n",
     b"OPEN 1 2 c=any,t=acme,d=100,d=200\r\n",
     b"OPEN 1 2 c=any,,t=acme,d=100\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=100,x=\x00\r\n",
     b"OPEN \xff 2 c=any,t=acme,d=100\r\n",
-    b"OPEN 1 2 c=any,t=acme,d=100,at=nowhere\r\n",
+    b"PING\r\nOPEN 1 2 c=any,t=acme,d=100\r\nM 1\r\n",
+    b"OPEN 1 2 c=any,t=acme,d=100\r\n" * 100,
+    b"PING\r\n" * 300,
     b"x" * 5000,
     b"OPEN 1 2 c=any,t=acme,d=100,x=" + b"y" * 4096 + b"\r\n",
 ]
 
 
-def test_malformed_lines_get_a_failed_answer_and_nothing_else_happens(tmp_path: Path) -> None:
+def test_malformed_lines_get_an_error_and_nothing_else_happens(tmp_path: Path) -> None:
     async def play() -> None:
         server = Server("a")
         async with running(tmp_path, server) as (program, _):
             for line in MALFORMED:
                 client = await program.client()
                 client.send(line)
-                assert await client.end() == b"FAILED\r\n", line
+                assert (await client.end()).replace(b"PONG\r\n", b"") == b"ERR\r\n", line
             half = await program.client()
             half.send(b"OPEN 1 2 c=any")
             half.writer.write_eof()
-            assert await half.end() == b"FAILED\r\n"
+            assert await half.end() == b"ERR\r\n"
             assert not server.opened
             await program.up()
 
     asyncio.run(play())
 
 
-def test_an_id_that_is_held_already_is_malformed(tmp_path: Path) -> None:
+def test_an_id_that_is_or_was_held_is_an_error_and_its_holder_stands(tmp_path: Path) -> None:
     async def play() -> None:
-        async with running(tmp_path, Server("a")) as (program, _):
+        server = Server("a")
+        async with running(tmp_path, server) as (program, _):
             first, second = await program.client(), await program.client()
             first.send(b"OPEN same 2 c=any,t=acme,d=1000\r\n")
             assert (await first.line()).startswith(b"UP ")
             second.send(b"OPEN same 2 c=any,t=acme,d=1000\r\n")
-            assert await second.end() == b"FAILED\r\n"
+            assert await second.end() == b"ERR\r\n"
             first.send(b"M 1\r\n")
             assert await first.line() == b"M 1\r\n"
+            first.writer.write_eof()
+            assert await first.end() == b""
+            third = await program.client()
+            third.send(b"OPEN same 3 c=any,t=acme,d=1000\r\n")
+            assert await third.end() == b"ERR\r\n"
+            assert len(server.opened) == 1
+
+    asyncio.run(play())
+
+
+def test_a_client_that_does_not_wait_for_its_answer_gets_an_error(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a", "silent")
+        async with running(tmp_path, server) as (program, _):
+            client = await program.open(kind="pay", wait=60_000)
+            async with asyncio.timeout(WITHIN):
+                while not server.opened:
+                    await asyncio.sleep(0.01)
+            client.send(b"M 1")
+            assert await client.end() == b"ERR\r\n"
+            await program.stop()
+            assert "answers.early=1" in await program.logged("counters")
+
+    asyncio.run(play())
+
+
+def test_silent_and_slow_clients_are_ended_well_within_three_seconds(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a")) as (program, _):
+            silent, slow = await program.client(), await program.client()
+            pinged = await program.client()
+            pinged.send(b"PING\r\n")
+
+            async def drip() -> bytes:
+                for byte in b"OPEN 1 2 c=any,t=acme,d=100":
+                    with contextlib.suppress(ConnectionError):
+                        slow.send(bytes([byte]))
+                    await asyncio.sleep(0.2)
+                    if slow.reader.at_eof() or slow.reader.exception() is not None:
+                        break
+                return b""
+
+            async with asyncio.timeout(2.9):
+                for ended in await asyncio.gather(silent.end(), pinged.end(), drip(), return_exceptions=True):
+                    assert isinstance(ended, bytes | ConnectionResetError)
+            program.process.send_signal(signal.SIGUSR1)
+            assert "clients.silent=3" in await program.logged("counters")
+
+    asyncio.run(play())
+
+
+def test_hundreds_that_say_nothing_take_nobodys_place(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), sockets=120) as (program, _):
+            standing = [await program.up() for _ in range(20)]
+            silent = [await program.client() for _ in range(300)]
+            for _ in range(10):
+                standing.append(await program.up())
+            for client in standing:
+                client.send(b"M 1\r\n")
+                assert await client.line() == b"M 1\r\n"
+            program.process.send_signal(signal.SIGUSR1)
+            line = await program.logged("counters")
+            assert "clients.given_up=" in line
+            assert "accept.failed" not in line
+            for client in silent:
+                client.writer.close()
+
+    asyncio.run(play())
+
+
+def test_sixty_megabytes_are_read_and_forgotten(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a")) as (program, _):
+            standing = await program.up()
+            before = memory(program.process.pid)
+
+            async def flood() -> None:
+                client = await program.client()
+                client.send(b"OPEN 1 2 c=any,t=acme,d=100,x=")
+                with contextlib.suppress(ConnectionError):
+                    for _ in range(60):
+                        client.send(b"k" * 1_000_000)
+                        await client.writer.drain()
+                with contextlib.suppress(ConnectionError):
+                    assert await client.end() == b"ERR\r\n"
+
+            floods = [asyncio.create_task(flood()) for _ in range(4)]
+            for _ in range(5):
+                standing.send(b"M 1\r\n")
+                async with asyncio.timeout(1):
+                    assert await standing.line() == b"M 1\r\n"
+            await asyncio.gather(*floods)
+            assert memory(program.process.pid) < before + 4_000_000
 
     asyncio.run(play())
 
@@ -387,10 +498,8 @@
             first = await program.open(values=",h=10000")
             assert (await first.line()).startswith(b"UP ")
             here, there = servers if servers[0].opened else servers[::-1]
-            here.streams[0][1].write(
-                b"LOAD 500\r\n"
-            )  # half a second a message: strained, its sum is its limit
-            assert await first.line() == b"LOAD 500\r\n"
+            here.streams[0][1].write(b"LOAD 30\r\n")  # milliseconds: strained, so its sum is its limit
+            assert await first.line() == b"LOAD 30\r\n"
             for _ in range(3):
                 client = await program.open(values=",h=9000")
                 assert (await client.line()).startswith(b"UP ")
