A stopping balancer serves on and moves everybody evenly in the later half of its time

Excluded: strain at servers (18 told delays), the reload (the list came 0.36 s after SIGHUP). Wrong lines: listener.py _stop: `moved = linger + (ends - linger) * MOVING`, moves from 0.45 s to 1.9 s; and ceil(), which moved twenty clients in 0.4 s. Now everybody is served until half of the time given has passed and moved evenly up to 0.92 of it. The test measures both and fails without it.

--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 import socket
 import time
@@ -31,7 +30,7 @@
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
 LINGER = 0.45  # seconds after a stop's start in which new connections still come: the moved would come back
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
-MOVING = 0.5  # part of what is left after that in which everybody is moved, evenly
+MOVE_FROM, MOVE_TO = 0.5, 0.92  # parts of the time given between which everybody is moved, evenly
 IDS_KEPT = 2048  # ids of ended connections that are remembered
 FIXED = ("name", "listen", "sockets", "settings")  # what a reload leaves as it was at the start
 LAST_ANSWERS = 0.1  # seconds in which what is still open is answered at the very end
@@ -206,15 +205,18 @@
         """Go on answering while connections still come, move everybody, wait for what is owed."""
         logger.info("stopping with {} sessions", len(self.sessions))
         longest = max((each.deadline for each in self.config.settings.classes), default=0.0) / 1000
-        ends = self.loop.time() + min(longest, STOP_MAX) + STOP_SPARE
-        linger = self.loop.time() + LINGER
-        moved = linger + (ends - linger) * MOVING
-        while (now := self.loop.time()) < ends and (self.sessions or self._tasks or now < linger):
+        given = min(longest, STOP_MAX) + STOP_SPARE
+        starts = self.loop.time()
+        ends, moved = starts + given, starts + given * MOVE_TO
+        credit = 0.0  # moves that are due
+        linger = starts + max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
+        while (now := self.loop.time()) < ends and (self.sessions or self._tasks or now < starts + LINGER):
             if now >= linger:
                 standing = [session for session in self.sessions.values() if session.up]
-                ticks = max(1.0, (moved - now) / TICK)
-                for session in standing[: math.ceil(len(standing) / ticks)]:
+                credit += len(standing) / max(1.0, (moved - now) / TICK)
+                for session in standing[: int(credit)]:
                     session.move()
+                credit -= int(credit)
             await asyncio.sleep(TICK)
         for session in list(self.sessions.values()):
             session.give_up()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -423,6 +423,27 @@
     asyncio.run(play())
 
 
+def test_a_stop_serves_on_as_long_as_it_may_and_moves_everybody_in_time(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a")) as (program, _):
+            clients = [await program.up() for _ in range(20)]
+            loop = asyncio.get_running_loop()
+            program.process.send_signal(signal.SIGTERM)
+            told = loop.time()
+
+            async def until_moved(client: Client) -> float:
+                assert await client.end() == b"MOVE\r\n"
+                return loop.time() - told
+
+            times = sorted(await asyncio.gather(*(until_moved(client) for client in clients)))
+            assert times[0] > 1.0  # half of the longest deadline, 2 s
+            assert times[-1] - times[0] > 0.5  # not all at once
+            assert times[-1] < 2.7  # when it may be killed
+            assert await program.stop() == 0
+
+    asyncio.run(play())
+
+
 def test_counters_on_a_signal(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path, Server("a")) as (program, _):
