Told delays are followed by their pace, whatever the hint of the connection that carries them

Excluded: silence, lines were answered. Wrong lines: health.py is_delay (a due figure also had to be small against the hint) and due (one telling missed ended the row). Now what is due, or due after up to three missed ones, and no longer than a delay can have become, is one. Tests fail without it.

--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -16,6 +16,8 @@
 
 SILENT_SUM, SILENT_LEAST = 3000.0, 1000.0  # milliseconds, over all lines that wait, and of the silence itself
 EVERY, OFF = 1000.0, 40.0  # milliseconds between two delays that a server tells, give or take
+NEVER = 1e15
+MISSED = 3  # tellings after the last that was read, up to which another is waited for
 TELLS = 1500.0  # milliseconds after a told delay in which answered lines say nothing new
 GROWTH = 1.5 * EVERY  # by how much a delay grows at most between two tellings: half as much again piles up
 SMALL = 0.2  # part of a connection's usual load under which a told one is suspicious
@@ -40,16 +42,16 @@
         self.load = self._usual = usual
         self._recent: deque[_Line] = deque(maxlen=4)
 
-    def is_delay(self, value: float, now: float, due: bool, last: float = 0.0) -> bool:
-        """Whether this is a delay; `load` is the connection's load as now known. `due`: its server tells now;
-        `last`: the delay that it told last, if lately.
+    def is_delay(self, value: float, now: float, due: bool, most: float = GROWTH) -> bool:
+        """Whether this is a delay; `load` is the connection's load as now known. `due`: its server, which has
+        told before, tells now; `most`: how long a delay may have become there.
 
-        One far too small for a load is a delay at once. Else one comes a second after another; that alone may
-        be chance, so the two must also be equal, or both far under the usual load, or the third in a row."""
+        One that is due and not too long is a delay, and so is one far too small for a load. Else one comes a
+        second after another; that alone may be chance, so the two must also be equal, or both far under the
+        usual load, or the third in a row."""
         line = _Line(now, value, self.load)
-        can_be = value <= last + GROWTH
-        small = can_be and value <= SMALL * self._usual
-        line.delay = (due and small) or (can_be and value <= TINY * self._usual)
+        small = value <= min(most, SMALL * self._usual)
+        line.delay = value <= most and (due or value <= TINY * self._usual)
         for earlier in self._recent:
             if abs(now - earlier.at - EVERY) <= OFF:
                 line.run = max(line.run, earlier.run + 1)
@@ -72,7 +74,7 @@
 
     def __init__(self, now: float) -> None:
         self.answered, self.silent = now, False
-        self.told, self.delay = -TELLS, 0.0
+        self.told, self.delay = -NEVER, 0.0
 
 
 class Health:
@@ -99,13 +101,17 @@
         seen = self._get(server, now)
         seen.told, seen.delay = now, delay
 
-    def delay(self, server: str, now: float) -> float:
-        """The delay that the server told last, 0 if it has not lately."""
-        return self._get(server, now).delay if self.tells(server, now) else 0.0
+    def most(self, server: str, now: float) -> float:
+        """How long a delay the server may tell now, by what it told last."""
+        seen = self._get(server, now)
+        tellings = round((now - seen.told) / EVERY)
+        return seen.delay + GROWTH * max(1, tellings) if tellings <= MISSED else GROWTH
 
     def due(self, server: str, now: float) -> bool:
-        """Whether the server's next telling is due now."""
-        return abs(now - self._get(server, now).told - EVERY) <= OFF
+        """Whether a telling of the server is due now, the next or one after some that were missed."""
+        since = now - self._get(server, now).told
+        tellings = round(since / EVERY)
+        return 1 <= tellings <= MISSED and abs(since - tellings * EVERY) <= OFF
 
     def tells(self, server: str, now: float) -> bool:
         """Whether the server tells its delay itself at present."""
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -81,6 +81,9 @@
     return Request(head.id, index, wait - EARLY, tenant, hint, head.key, values.get("g"), again)
 
 
+ENDED = {End.SERVER_RESET: Result.RESET, End.SILENT: Result.RESET}  # others are no fault of the server
+
+
 class Session:
     """One client."""
 
@@ -344,7 +347,7 @@
         end = self._done.result()
         if end is End.SERVER:
             return PARTING.get(self._last, Result.RESET)
-        return Result.RESET if end in (End.SERVER_RESET, End.SILENT) else Result.CANCELLED
+        return ENDED.get(end, Result.CANCELLED)
 
     def _over(self, started: float, result: Result) -> None:
         now = self._clock()
@@ -458,8 +461,8 @@
         if not config.tells_load:
             delay = config.tells_delay
         else:
-            due, last = health.due(self.place, now), health.delay(self.place, now)
-            delay = config.tells_delay and self._loads.is_delay(value, now, due, last)
+            due, most = health.due(self.place, now), health.most(self.place, now)
+            delay = config.tells_delay and self._loads.is_delay(value, now, due, most)
         if delay:
             self._counters.add("delays.told")
             health.told(self.place, now, value)
