--- a/switchhub/net/health.py
+++ b/switchhub/net/health.py
@@ -20,6 +20,7 @@
 MISSED = 3  # tellings after the last that was read, up to which another is waited for
 TELLS = 1500.0  # milliseconds after a told delay in which answered lines say nothing new
 GROWTH = 1.5 * EVERY  # by how much a delay grows at most between two tellings: half as much again piles up
+CLOSE, HALF = 20.0, 0.5  # the same for two on different connections, and the part of their usual loads
 SMALL = 0.2  # part of a connection's usual load under which a told one is suspicious
 TINY = 0.02  # and under which it hardly ever is one
 
@@ -42,6 +43,11 @@
         self.load = self._usual = usual
         self._recent: deque[_Line] = deque(maxlen=4)
 
+    @property
+    def usual(self) -> float:
+        """The connection's load as it was guessed."""
+        return self._usual
+
     def is_delay(self, value: float, now: float, due: bool, most: float = GROWTH) -> bool:
         """Whether this is a delay; `load` is the connection's load as now known. `due`: its server, which has
         told before, tells now; `most`: how long a delay may have become there.
@@ -70,10 +76,11 @@
 
 
 class _Seen:
-    __slots__ = ("answered", "delay", "silent", "told")
+    __slots__ = ("answered", "delay", "silent", "small", "told")
 
     def __init__(self, now: float) -> None:
         self.answered, self.silent = now, False
+        self.small: deque[float] = deque(maxlen=8)  # when it sent lines lately that may be delays
         self.told, self.delay = -NEVER, 0.0
 
 
@@ -96,6 +103,16 @@
             seen.silent = silence >= max(SILENT_LEAST, SILENT_SUM / max(1, waiting))
         return seen.silent
 
+    def begins(self, server: str, now: float, value: float, usual: float) -> bool:
+        """Whether a row of tellings has begun there: two that may be delays, a second apart, on whichever
+        connections. The first of them is missed."""
+        if value > min(GROWTH, HALF * usual):
+            return False
+        small = self._get(server, now).small
+        begins = any(abs(now - at - EVERY) <= CLOSE for at in small)
+        small.append(now)
+        return begins
+
     def told(self, server: str, now: float, delay: float) -> None:
         """The server has told its delay."""
         seen = self._get(server, now)
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -461,7 +461,8 @@
         if not config.tells_load:
             delay = config.tells_delay
         else:
-            due, most = health.due(self.place, now), health.most(self.place, now)
+            due = health.begins(self.place, now, value, self._loads.usual) or health.due(self.place, now)
+            most = health.most(self.place, now)
             delay = config.tells_delay and self._loads.is_delay(value, now, due, most)
         if delay:
             self._counters.add("delays.told")
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -110,3 +110,16 @@
         health.told("a", float(now), value)
     assert not health.due("a", 16_000.0)
     assert not health.due("a", 19_560.0), "too many were missed"
+
+
+def test_a_row_of_tellings_is_found_across_connections() -> None:
+    health = Health()  # as seen: the hints are too small and too large for either line alone
+    assert not health.begins("a", 9050.0, 431.3, 16_341.0)
+    assert not health.begins("b", 10_050.0, 771.2, 4083.0), "another server's"
+    assert not health.begins("a", 9900.0, 300.0, 16_341.0)
+    assert not health.begins("a", 10_050.0, 3807.1, 19_099.0), "too long for a first one"
+    assert not health.begins("a", 10_050.0, 771.2, 900.0), "most of a small load"
+    assert health.begins("a", 10_050.0, 771.2, 4083.0)
+    loads = LoadLines(4083.0)
+    assert loads.is_delay(771.2, 10_050.0, True, health.most("a", 10_050.0))
+    assert loads.load == 4083.0
