A server that has shed its connections is filled again: limits grow to half the mean sum

Checked: it was neither set aside nor cold, and its sum was the least; its limit stood at nearly nothing and grew by 2% of that and a third of a mean hint a second. Excluded: told delays (both balancers read them). Wrong lines: brain.py _limit, whose growth knows only the limit itself. Now a limit under half of the others' mean sum grows by a tenth of that mean a second. The test fails without it.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -34,7 +34,7 @@
 OWN_PART = 2.0  # connections of a group held here, on average, over which a balancer starts it where it likes
 COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
-LIMIT_HOLD, LIMIT_GROWTH = 1500.0, 0.02  # a limit stands so long after strain, then grows so much a second
+LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
 ROSTER_TIMER = 1  # the token of the only timer there is: ask for the roster again
 MOVE_PACE = 0.07  # part of its connections that a balancer moves in a second at most
@@ -216,8 +216,7 @@
         self._place(conn)
 
     def _on_left(self, event: ClientLeft) -> None:
-        conn = self._conns.get(event.request)
-        if conn is not None:
+        if (conn := self._conns.get(event.request)) is not None:
             conn.left = True
 
     # The one path of a decision.
@@ -385,15 +384,16 @@
 
     def _limit(self, node: _Node) -> float:
         """What the sum may rise to: held while strain is fresh, then growing, for strain passes."""
-        calm = (self._now - node.limit_at - LIMIT_HOLD) / 1000
-        one = self._mean_hint / self._settings.fleet_size  # all balancers raise it together
-        return node.limit if calm <= 0 else node.limit + calm * (LIMIT_GROWTH * node.limit + one)
+        hint, calm = self._mean_hint, (self._now - node.limit_at - LIMIT_HOLD) / 1000
+        refill = REFILL * (hint * (len(self._conns) - len(node.held)) / len(self._nodes) - 2 * node.limit)
+        rate = max(LIMIT_GROWTH * node.limit, refill) + hint / self._settings.fleet_size  # all raise it
+        return node.limit if calm <= 0 else node.limit + calm * rate
 
     def _relieve(self, node: _Node) -> None:
         """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
         rate = MOVE_PACE * len(self._conns)  # connections a second, whatever tells of strain
-        calm = 2 * sum([self._fresh(each) for each in self._ready]) <= len(self._ready)
-        price = 0.0 if calm and not node.limit else 1.0  # a stalled server holds them for nothing
+        strained = sum([self._fresh(each) for each in self._ready])  # a stalled one holds them for nothing
+        price = 0.0 if not node.limit and 2 * strained <= len(self._ready) else 1.0
         self._move_credit = min(self._move_credit + rate * (self._now - self._move_at) / 1000, max(rate, 1.0))
         self._move_at = self._now
         excess = node.total - node.limit - sum(conn.load for conn in node.held.values() if conn.moving)
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -404,3 +404,19 @@
     world.end(first, Result.CANCELLED, closed=True)
     for _ in range(5):
         assert world.stand() == "b"
+
+
+def test_a_stalled_server_that_is_calm_again_is_filled_in_seconds() -> None:
+    world = World(make_settings(zone=9))
+    world.roster(server("a"), server("b"))
+    first, second = world.adopt("a"), world.adopt("a")
+    for _ in range(40):
+        world.adopt("b")
+    world.strain(first, "a", 1200.0)
+    world.end(first, Result.CANCELLED, closed=True)
+    world.strain(second, "a", 1.0)
+    world.end(second, Result.CANCELLED, closed=True)
+    assert world.stand() == "b"
+    world.wait(4000.0)
+    places = [world.stand() for _ in range(20)]
+    assert 5 <= places.count("a") <= 12, "a tenth of the mean sum a second, and no more"
