Only balancers with more connections than servers move a stalled server off whole

Wrong line: brain.py _relieve, where "half of the servers are calm" was read from servers of which a thin balancer knows nothing; 185 balancers moved their few connections off together. Now it also takes more connections than servers, as the exception "known" does. The test fails without it.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -393,7 +393,7 @@
         """Danger: a strained server stays so while its connections last. Move off what is over its limit."""
         rate = MOVE_PACE * len(self._conns)  # connections a second, whatever tells of strain
         strained = sum([self._fresh(each) for each in self._ready])  # a stalled one holds them for nothing
-        price = 0.0 if not node.limit and 2 * strained <= len(self._ready) else 1.0
+        price = 0.0 if not node.limit and 2 * strained <= len(self._ready) < len(self._conns) else 1.0
         self._move_credit = min(self._move_credit + rate * (self._now - self._move_at) / 1000, max(rate, 1.0))
         self._move_at = self._now
         excess = node.total - node.limit - sum(conn.load for conn in node.held.values() if conn.moving)
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -420,3 +420,12 @@
     world.wait(4000.0)
     places = [world.stand() for _ in range(20)]
     assert 5 <= places.count("a") <= 12, "a tenth of the mean sum a second, and no more"
+
+
+def test_a_thin_balancer_moves_a_stalled_server_off_at_the_usual_pace() -> None:
+    world = World(make_settings(zone=9))
+    world.roster(*(server(f"s{number}") for number in range(40)))
+    held = [world.adopt("s0") for _ in range(10)]
+    world.adopt("s1")
+    world.strain(held[0], "s0", 1200.0)
+    assert len(world.did(Move)) == 1, "with few connections it can't tell that the others are calm"
