A first call to discovery without an answer is given 1.5 s, not a watch's 11.5 s

Suspected from discovery.py _call (one time-out for calls that wait and calls that do not) and seen in a test with a discovery that answers nothing: the watch stood still for 11.5 s, though what it has to tell counts as told 4 s after SIGHUP. The test fails without the change.

--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -140,8 +140,9 @@
                 await asyncio.get_running_loop().sock_connect(self._sock, self._at)
         host, port = self._at
         query = "" if self._version is None else f"?index={self._version}&wait={WAIT_MS}"
+        wait = 0.0 if self._version is None else WAIT_MS / 1000  # the whole list comes at once or not at all
         request = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        async with asyncio.timeout(WAIT_MS / 1000 + ANSWER_WITHIN):
+        async with asyncio.timeout(wait + ANSWER_WITHIN):
             await asyncio.get_running_loop().sock_sendall(self._sock, request.encode())
             status, keep, body = await self._answer(self._sock)
         if not keep:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -110,6 +110,7 @@
         self.states = {server.name: "Ready" for server in servers}
         self.started = {server.name: 0 for server in servers}
         self.version, self.fails, self.calls = 1, 0, 0
+        self.mute = 0  # so many calls get no answer
         self.address = ""
         self._servers = servers
         self._changed = asyncio.Condition()
@@ -162,6 +163,9 @@
                 self.calls += 1
                 self.asked.append(urlsplit(head.split(b" ")[1].decode()).query)
                 query = parse_qs(self.asked[-1])
+                if self.mute:
+                    self.mute -= 1
+                    continue
                 if self.fails:
                     self.fails -= 1
                     writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -104,3 +104,18 @@
             assert await program.stop() == 0
 
     asyncio.run(play())
+
+
+def test_a_new_discovery_that_says_nothing_is_asked_again_soon(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers = [Server("a"), Server("b")]
+        async with running(tmp_path, *servers) as (program, _):
+            later = Discovery(servers)
+            later.mute = 1
+            await later.start()
+            later.states["b"] = "Terminating"
+            await program.reload(program.moved(later))
+            async with asyncio.timeout(4):  # from when on what it has to tell counts as told
+                await program.logged("server b draining")
+
+    asyncio.run(play())
