--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m switchhub`: starts one balancer and stops it.
+"""`python -m switchhub`: starts one balancer and stops it; with arguments, a sub-command
+(`switchhub/cli.py`).
 
 Owns: the process, its signals, its log. Must never: hold state of a connection, or end with standing
 connections untold.
@@ -34,6 +35,10 @@
 
 def main() -> int:
     """The exit status: 0 after an ordered stop, 2 when the configuration does not serve."""
+    if len(sys.argv) > 1:
+        from switchhub.cli import main as command  # a balancer that serves never needs it
+
+        return command(sys.argv[1:])
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before there is anything to reload
     logger.remove()
     logger.add(
--- /dev/null
+++ b/switchhub/cli.py
@@ -0,0 +1,62 @@
+"""The command line beyond `python -m switchhub` alone, which starts the platform's balancer and never comes
+here.
+
+Owns: the sub-commands' arguments and their exit status: 0, 1 (a rule broken, a difference that was asked
+about), 2 (wrong use, a file that does not serve). Must never: import a sub-command's libraries before it is
+called.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import os
+import sys
+
+from loguru import logger
+
+LAB_NEEDS = "the lab needs its libraries: pip install -r requirements-lab.txt"
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m switchhub",
+        description="Without arguments: start the balancer that BALANCER_CONFIG describes.",
+        epilog="Examples:\n"
+        "  python -m switchhub lab check lab/scenarios/calm.toml\n"
+        "  python -m switchhub lab run lab/scenarios/hang.toml --seed 3 --json out.json\n"
+        "  python -m switchhub lab table --seeds 1..5 --policies design,plain,oracle",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--log-json", action="store_true", help="log lines as JSON, one object a line")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    commands.add_parser(
+        "lab", help="play scenarios: a fleet in virtual time or on real sockets", add_help=False
+    )
+    return parser
+
+
+def _log(as_json: bool) -> None:
+    logger.remove()
+    logger.add(
+        sys.stderr,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        level=os.environ.get("SWITCHHUB_LOG", "INFO"),
+        serialize=as_json,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Run a sub-command; its exit status."""
+    told, rest = _parser().parse_known_args(arguments)
+    _log(told.log_json)
+    try:
+        command = importlib.import_module("switchhub.lab.cli")
+    except ModuleNotFoundError as error:
+        if (error.name or "").startswith("switchhub"):
+            raise
+        print(f"switchhub: {LAB_NEEDS} (no {error.name})", file=sys.stderr)
+        return 2
+    return int(command.main(rest))
--- /dev/null
+++ b/switchhub/lab/cli.py
@@ -0,0 +1,224 @@
+"""`python -m switchhub lab ...`: check, run, table, compare.
+
+Owns: the arguments, what is printed and the exit status: 0, 1 when a rule is broken, 2 for wrong use or a
+file that does not serve. Must never: start anything before every file named is checked whole.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from switchhub.lab import scenario as scenarios
+from switchhub.lab.baselines import POLICIES
+from switchhub.lab.runs import Job, play_all, play_one
+from switchhub.lab.scenario import Scenario, ScenarioError
+from switchhub.lab.tally import dump
+
+SHELF = Path(__file__).parent.parent.parent / "lab" / "scenarios"
+LARGE = 20_000  # standing connections beyond which a scenario is left out of tables unless it is named
+
+
+def seeds(text: str) -> list[int]:
+    """`7`, `1..20` or `1,4,9`."""
+    try:
+        if ".." in text:
+            first, last = (int(each) for each in text.split(".."))
+            found = list(range(first, last + 1))
+        else:
+            found = [int(each) for each in text.split(",")]
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"not seeds: {text!r}; 7, 1..20 or 1,4,9 are") from None
+    if not found or min(found) < 0 or len(found) > 10_000:
+        raise argparse.ArgumentTypeError(f"not seeds: {text!r}: from 1 to 10,000 of them, none under 0")
+    return found
+
+
+def policies(text: str) -> list[str]:
+    """Names with commas between."""
+    names = text.split(",")
+    for name in names:
+        if name not in POLICIES:
+            raise argparse.ArgumentTypeError(f"no policy {name!r}; there are {', '.join(POLICIES)}")
+    return names
+
+
+def checkout(text: str) -> Path:
+    """Another checkout of this project."""
+    path = Path(text).resolve()
+    if not (path / "switchhub" / "decision" / "facade.py").is_file():
+        raise argparse.ArgumentTypeError(f"{text!r} holds no switchhub/decision/facade.py")
+    return path
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m switchhub lab", description="Play a fleet of balancers through troubles and judge it."
+    )
+    verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
+
+    def verb(name: str, help_: str, example: str) -> argparse.ArgumentParser:
+        return verbs.add_parser(
+            name,
+            help=help_,
+            description=help_,
+            epilog=f"Example: python -m switchhub lab {example}",
+        )
+
+    one = verb("check", "check scenario files whole; every fault is a line", "check lab/scenarios/*.toml")
+    one.add_argument("files", nargs="+", type=Path)
+
+    one = verb("run", "play one scenario", "run lab/scenarios/hang.toml --seed 3 --json out.json")
+    one.add_argument("file", type=Path)
+    one.add_argument("--seed", type=int, default=1)
+    one.add_argument("--policy", choices=POLICIES, default="design")
+    one.add_argument(
+        "--against", type=checkout, metavar="DIR", help="play another checkout's balancer instead"
+    )
+    one.add_argument("--json", type=Path, metavar="FILE", help="write the result there")
+    one.add_argument("--keep-on", action="store_true", help="go on after a broken rule")
+
+    one = verb(
+        "table", "scenarios by policies, in virtual time", "table --seeds 1..10 --policies design,oracle"
+    )
+    one.add_argument("files", nargs="*", type=Path, help="scenario files; the whole shelf if none")
+    one.add_argument("--seeds", type=seeds, default=[1, 2, 3])
+    one.add_argument("--policies", type=policies, default=list(POLICIES))
+    one.add_argument("--workers", type=int, default=0, help="processes; as many as there are cores if 0")
+    one.add_argument("--json", type=Path, metavar="FILE")
+
+    one = verb(
+        "compare", "two policies or checkouts, seed by seed", "compare design plain --scenario hang.toml"
+    )
+    one.add_argument("a", help="a policy, or a checkout's folder")
+    one.add_argument("b", help="a policy, or a checkout's folder")
+    one.add_argument("--scenario", type=Path, required=True)
+    one.add_argument("--seeds", type=seeds, default=list(range(1, 11)))
+    one.add_argument("--workers", type=int, default=0)
+    one.add_argument("--json", type=Path, metavar="FILE")
+
+    return parser
+
+
+def read_all(files: list[Path]) -> list[Scenario]:
+    """All files, or one `ScenarioError` with the faults of every one."""
+    found: list[Scenario] = []
+    faults: list[str] = []
+    for path in files:
+        try:
+            found.append(scenarios.read(path))
+        except ScenarioError as error:
+            faults += error.faults
+    if faults:
+        raise ScenarioError(faults)
+    return found
+
+
+def shelf() -> list[Scenario]:
+    """The project's own scenarios that a table can hold."""
+    return [each for each in read_all(sorted(SHELF.glob("*.toml"))) if each.standing <= LARGE]
+
+
+def write(path: Path | None, data: Any) -> None:
+    """As JSON, if a file is named."""
+    if path is not None:
+        path.write_text(dump(data), encoding="utf-8")
+
+
+def show_result(result: dict[str, Any]) -> int:
+    """A run's figures on the terminal, and what broke; the exit status."""
+    print(
+        f"{result['scenario']} seed {result['seed']} {result['engine']} {result['policy']}: "
+        f"service {result['service']:.4f}"
+    )
+    for each in result["troubles"]:
+        print(f"  trouble {each['name']} ({each['kind']}) at {each['at_s']} s meets {each['meets']}")
+    for name, each in result["by_class"].items():
+        told = ", ".join(f"{word} {count}" for word, count in each["answers"].items())
+        print(f"  {name}: {each['good']} of {each['wanted']} messages well served; answers: {told or 'none'}")
+    for name in ("setup", "message"):
+        print(f"  {name}: " + ", ".join(f"{key} {value}" for key, value in result[name].items()))
+    if result["counts"]:
+        print("  " + ", ".join(f"{key} {value}" for key, value in result["counts"].items()))
+    for note in result.get("notes", ()):
+        print(f"  {note}")
+    for each in result["broken"][:1]:
+        print(f"RULE {each['rule']} BROKEN at {each['at']} s: {each['name']}: {each['text']}")
+        for line in each["story"]:
+            print(f"    {line}")
+    if len(result["broken"]) > 1:
+        print(f"  and {len(result['broken']) - 1} more")
+    return 1 if result["broken"] else 0
+
+
+def _check(told: argparse.Namespace) -> int:
+    for each in read_all(told.files):
+        print(
+            f"{each.name}: {len(each.server_names())} servers, {each.standing} standing connections, serves"
+        )
+    return 0
+
+
+def _run(told: argparse.Namespace) -> int:
+    scenario = read_all([told.file])[0]
+    result = play_one(Job(scenario, told.seed, told.policy, told.against, told.keep_on or None))
+    write(told.json, result)
+    return 2 if result.get("unfit") else show_result(result)
+
+
+def _table(told: argparse.Namespace) -> int:
+    from switchhub.lab import report
+
+    found = read_all(told.files) if told.files else shelf()
+    jobs = [Job(each, seed, policy) for each in found for policy in told.policies for seed in told.seeds]
+    rows = report.rows(play_all(jobs, told.workers))
+    write(told.json, rows)
+    print(report.table(rows, told.policies))
+    return 1 if any(row["policy"] == "design" and row["broken"] for row in rows) else 0
+
+
+def _compare(told: argparse.Namespace) -> int:
+    from switchhub.lab import report
+
+    scenario = read_all([told.scenario])[0]
+    sides = []
+    for name in (told.a, told.b):
+        against = None if name in POLICIES else checkout(name)
+        policy = name if against is None else "design"
+        sides.append([Job(scenario, seed, policy, against) for seed in told.seeds])
+    results = play_all(sides[0] + sides[1], told.workers)
+    half = len(told.seeds)
+    found = report.compare(told.a, told.b, results[:half], results[half:])
+    write(told.json, found)
+    print(report.comparison(found))
+    return 0
+
+
+VERBS: dict[str, Callable[[argparse.Namespace], int]] = {
+    "check": _check,
+    "run": _run,
+    "table": _table,
+    "compare": _compare,
+}
+
+
+def main(arguments: list[str]) -> int:
+    """The exit status."""
+    told = _parser().parse_args(arguments)
+    try:
+        return VERBS[told.verb](told)
+    except ScenarioError as error:
+        for fault in error.faults:
+            print(f"lab: {fault}", file=sys.stderr)
+        return 2
+    except argparse.ArgumentTypeError as error:
+        print(f"lab: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        logger.warning("interrupted")
+        return 130
--- /dev/null
+++ b/switchhub/lab/runs.py
@@ -0,0 +1,75 @@
+"""Many runs in virtual time over the cores, each in a process of its own; results in the order of the jobs.
+
+Owns: the pool of processes, ended with the call. Must never: let the number of workers, or which of them
+played a job, show in a result.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+from rich.progress import Progress
+
+from switchhub.lab import model
+from switchhub.lab.scenario import Scenario
+from switchhub.lab.tally import result
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One run in virtual time."""
+
+    scenario: Scenario
+    seed: int
+    policy: str = "design"
+    against: Path | None = None
+    keep_on: bool | None = None
+
+
+def play_one(job: Job) -> dict[str, Any]:
+    """The result of one job. A broken rule ends a run of the design, other policies go on."""
+    if job.against is not None:
+        from switchhub.lab.earlier import maker
+
+        make = maker(job.against)
+    else:
+        make = model.maker(job.policy)
+    keep_on = job.policy != "design" if job.keep_on is None else job.keep_on
+    played = model.Run(job.scenario, job.seed, make, keep_on=keep_on).play()
+    name = job.policy if job.against is None else "against"
+    return result(job.scenario, job.seed, "model", name, played.tally, played.broken, played.met)
+
+
+def _ignore_interrupts() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent ends its workers
+
+
+def play_all(jobs: list[Job], workers: int = 0) -> list[dict[str, Any]]:
+    """All results, in the order of the jobs; progress on a terminal's standard error."""
+    workers = min(workers or os.cpu_count() or 1, max(1, len(jobs)))
+    if workers == 1:
+        return [play_one(job) for job in jobs]
+    out: list[dict[str, Any]] = []
+    console = Console(stderr=True)
+    with (
+        ProcessPoolExecutor(workers, initializer=_ignore_interrupts) as pool,
+        Progress(console=console, disable=not sys.stderr.isatty()) as progress,
+    ):
+        shown = progress.add_task("playing", total=len(jobs))
+        try:
+            for each in pool.map(play_one, jobs):
+                out.append(each)
+                progress.advance(shown)
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            for process in list((pool._processes or {}).values()):
+                process.terminate()
+            raise
+    return out
--- /dev/null
+++ b/switchhub/lab/tally.py
@@ -0,0 +1,158 @@
+"""What a run came to: worth well served, answers, times, loads; counted as it goes, written as JSON at the
+end.
+
+Owns: the counts of one run and their form (versioned). Must never: hold a figure of the wall clock for a
+run in virtual time, or depend on the order of hashes; the same run gives the same bytes.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from switchhub.lab.judge import Broken
+from switchhub.lab.scenario import Scenario
+
+VERSION = 1
+BIN = 0.5  # seconds of one step of the series
+FIGURES = (50.0, 90.0, 99.0, 99.9)
+TOP = 120_000_000  # microseconds: the longest time that a histogram tells apart
+
+
+class Times:
+    """Durations in microseconds, as an HDR histogram of three digits."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[int] = Counter()
+
+    def add(self, seconds: float) -> None:
+        """One duration, to 10 microseconds."""
+        self._counts[int(seconds * 1e5)] += 1
+
+    def histogram(self) -> HdrHistogram:
+        """All of them."""
+        out = HdrHistogram(1, TOP, 3)
+        for value, count in sorted(self._counts.items()):
+            out.record_value(min(max(value * 10, 1), TOP), count)
+        return out
+
+    def figures(self) -> dict[str, float]:
+        """Percentiles in milliseconds."""
+        histogram = self.histogram()
+        if not histogram.total_count:
+            return {"count": 0}
+        out: dict[str, float] = {"count": histogram.total_count}
+        for each in FIGURES:
+            out[f"p{each:g}_ms"] = round(histogram.get_value_at_percentile(each) / 1000, 3)
+        return out
+
+
+class Tally:
+    """Counts of one run."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        steps = int(scenario.seconds / BIN) + 1
+        self._worths = [each.worth for each in scenario.classes]
+        self.wanted = [[0] * steps for _ in scenario.classes]
+        self.good = [[0] * steps for _ in scenario.classes]
+        self.answers = [Counter[str]() for _ in scenario.classes]
+        self.steps: list[Counter[str]] = [Counter() for _ in range(steps)]
+        self.loads: dict[str, list[float]] = {}
+        self.setups, self.messages = Times(), Times()
+        self.counts: Counter[str] = Counter()
+        self._last = steps - 1
+
+    def step(self, at: float) -> int:
+        """The step of the series that a moment belongs to."""
+        return min(max(int(at / BIN), 0), self._last)
+
+    def answer(self, at: float, kind: int, word: str) -> None:
+        """A client has its final answer."""
+        self.answers[kind][word] += 1
+        self.steps[self.step(at)][f"answer.{word}"] += 1
+
+    def event(self, at: float, name: str) -> None:
+        """Something that is counted, over time and in all."""
+        self.counts[name] += 1
+        self.steps[self.step(at)][name] += 1
+
+    def service(self, first: float = 0.0, last: float = 1e9) -> float:
+        """Worth of the messages well served over the worth of those that clients wanted to send; 1 if none
+        were."""
+        low, high = self.step(first), self.step(last)
+        wanted = good = 0.0
+        for kind, worth in enumerate(self._worths):
+            wanted += worth * sum(self.wanted[kind][low : high + 1])
+            good += worth * sum(self.good[kind][low : high + 1])
+        return good / wanted if wanted else 1.0
+
+    def series(self) -> list[float | None]:
+        """Service in each step; none where nothing was wanted."""
+        out: list[float | None] = []
+        for step in range(self._last + 1):
+            wanted = sum(worth * self.wanted[kind][step] for kind, worth in enumerate(self._worths))
+            good = sum(worth * self.good[kind][step] for kind, worth in enumerate(self._worths))
+            out.append(round(good / wanted, 6) if wanted else None)
+        return out
+
+
+def result(
+    scenario: Scenario,
+    seed: int,
+    engine: str,
+    policy: str,
+    tally: Tally,
+    broken: list[Broken],
+    met: dict[str, int],
+) -> dict[str, Any]:
+    """The run as plain data."""
+    return {
+        "version": VERSION,
+        "scenario": scenario.name,
+        "seed": seed,
+        "engine": engine,
+        "policy": policy,
+        "service": round(tally.service(), 6),
+        "by_class": {
+            each.name: {
+                "wanted": sum(tally.wanted[kind]),
+                "good": sum(tally.good[kind]),
+                "answers": dict(sorted(tally.answers[kind].items())),
+            }
+            for kind, each in enumerate(scenario.classes)
+        },
+        "setup": tally.setups.figures(),
+        "message": tally.messages.figures(),
+        "counts": dict(sorted(tally.counts.items())),
+        "troubles": [
+            {**each.model_dump(include={"name", "kind", "at_s", "seconds"}), "meets": met.get(each.name, 0)}
+            for each in scenario.troubles
+        ],
+        "series": {
+            "step_s": BIN,
+            "service": tally.series(),
+            "events": [dict(sorted(each.items())) for each in tally.steps],
+            "loads": {
+                name: [round(each, 4) for each in loads] for name, loads in sorted(tally.loads.items())
+            },
+        },
+        "broken": [
+            {
+                "name": each.name,
+                "rule": each.rule,
+                "at": round(each.at, 6),
+                "text": each.text,
+                "story": each.story,
+            }
+            for each in broken
+        ],
+    }
+
+
+def dump(data: Any) -> str:
+    """JSON whose bytes depend on nothing but the data."""
+    return json.dumps(data, sort_keys=True, indent=1) + "\n"
--- /dev/null
+++ b/switchhub/lab/timeline.py
@@ -0,0 +1,166 @@
+"""What happens to whom and when: a scenario's troubles as plain intervals, the same for both engines.
+
+Owns: the meaning of each trouble. Must never: depend on what a balancer does, or on the order of two
+troubles; an interval of one trouble does not end another's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import NamedTuple
+
+from switchhub.lab.scenario import SERVER_TROUBLES, Scenario, Trouble, matching, targets
+
+FOREVER = 1e9
+
+
+class Interval(NamedTuple):
+    """One effect on one target, from `start` to `end` in seconds. Troubles without length last to the end."""
+
+    start: float
+    end: float
+    effect: str
+    target: str
+    value: float
+    trouble: str
+
+
+class Change(NamedTuple):
+    """An interval begins or ends."""
+
+    at: float
+    begins: bool
+    interval: Interval
+
+
+class Heard(NamedTuple):
+    """What discovery knows of a server from a moment on."""
+
+    at: float
+    server: str
+    state: str
+    born: float
+
+
+@dataclass(slots=True)
+class Timeline:
+    """All intervals of a run."""
+
+    intervals: list[Interval]
+    seconds: float
+    changes: list[Change] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Sort what begins and ends."""
+        self.changes = sorted(
+            [Change(each.start, True, each) for each in self.intervals]
+            + [Change(each.end, False, each) for each in self.intervals if each.end < FOREVER],
+            key=lambda change: (change.at, change.begins, change.interval),
+        )
+
+    def of(self, *effects: str) -> list[Interval]:
+        """The intervals of these effects, by their starts."""
+        return sorted(each for each in self.intervals if each.effect in effects)
+
+    def active(self, effect: str, target: str, at: float) -> bool:
+        """Whether the effect meets the target then."""
+        return any(
+            each.start <= at < each.end
+            for each in self.intervals
+            if each.effect == effect and each.target == target
+        )
+
+    def surge(self, at: float) -> float:
+        """By how much arrivals are multiplied then."""
+        factor = 1.0
+        for each in self.intervals:
+            if each.effect == "surge" and each.start <= at < each.end:
+                factor *= each.value
+        return factor
+
+
+def _met(scenario: Scenario, trouble: Trouble, rng: Random) -> list[str]:
+    names = matching(targets(scenario, trouble), trouble.meets)
+    count = round(trouble.part * len(names))
+    chosen = set(rng.sample(names, count))
+    return [name for name in names if name in chosen]
+
+
+def _expand(scenario: Scenario, trouble: Trouble, rng: Random) -> list[Interval]:
+    start = trouble.at_s
+    end = start + trouble.seconds if trouble.seconds else FOREVER
+    name, kind = trouble.name, trouble.kind
+    if kind.startswith("roster-") or kind in ("surge", "drop"):
+        value = trouble.part if kind == "drop" else trouble.value
+        return [Interval(start, start if kind == "drop" else end, kind, "", value, name)]
+    met = _met(scenario, trouble, rng)
+    out: list[Interval] = []
+    for index, each in enumerate(met):
+        begin = start + index * trouble.stride_s
+        if kind in ("rolling", "drain"):
+            gone = begin + trouble.drain_s
+            back = gone + trouble.down_s if kind == "rolling" else end
+            out.append(Interval(begin, gone, "drain", each, 0.0, name))
+            out.append(Interval(gone, max(back, gone), "die", each, 1.0, name))
+        elif kind == "balancer-restart":
+            out.append(Interval(begin, begin + trouble.down_s, "balancer-restart", each, 0.0, name))
+        elif kind == "balancer-reload":
+            out.append(Interval(begin, begin, kind, each, 0.0, name))
+        else:
+            out.append(Interval(start, end, kind, each, trouble.value, name))
+    return out
+
+
+def expand(scenario: Scenario, seed: int) -> Timeline:
+    """All intervals of a scenario; whom a part of the targets is, the seed decides."""
+    intervals: list[Interval] = []
+    for trouble in scenario.troubles:
+        intervals += _expand(scenario, trouble, Random(f"{seed}/trouble/{trouble.name}"))
+    return Timeline(intervals, scenario.seconds)
+
+
+def dead_spans(timeline: Timeline, server: str) -> list[tuple[float, float]]:
+    """When the server does not run, overlapping troubles merged: it is back when the last of them has
+    ended."""
+    spans: list[tuple[float, float]] = []
+    for each in timeline.of("die"):
+        if each.target != server:
+            continue
+        if spans and each.start <= spans[-1][1]:
+            spans[-1] = (spans[-1][0], max(spans[-1][1], each.end))
+        else:
+            spans.append((each.start, each.end))
+    return spans
+
+
+def heard(scenario: Scenario, timeline: Timeline) -> list[Heard]:
+    """What discovery comes to know, in order. A lying roster names the dead as ready."""
+    delay, notice = scenario.discovery.delay_s, scenario.discovery.notice_s
+    out: list[Heard] = []
+    for server in scenario.server_names():
+        spans = dead_spans(timeline, server)
+        for each in timeline.of("drain"):
+            if each.target == server:
+                out.append(Heard(each.start + delay, server, "Terminating", 0.0))
+        for start, end in spans:
+            planned = any(each.end == start for each in timeline.of("drain") if each.target == server)
+            known = start + (delay if planned else notice)
+            lies = any(each.start <= known < each.end for each in timeline.of("roster-lying"))
+            if known < end + delay and not lies:
+                out.append(Heard(known, server, "Gone", 0.0))
+            if end < FOREVER:
+                out.append(Heard(end + delay, server, "Ready", end))
+    return sorted(out)
+
+
+def names_met(scenario: Scenario, timeline: Timeline) -> dict[str, int]:
+    """How many targets each trouble meets, for the results; 0 is allowed and said."""
+    met = {each.name: 0 for each in scenario.troubles}
+    for each in scenario.troubles:
+        own = {one.target for one in timeline.intervals if one.trouble == each.name}
+        met[each.name] = len(own)
+    return met
+
+
+__all__ = ["FOREVER", "SERVER_TROUBLES", "Change", "Heard", "Interval", "Timeline", "dead_spans", "expand"]
--- /dev/null
+++ b/tests/lab/small.py
@@ -0,0 +1,51 @@
+"""Small scenarios for the tests, as plain data to be changed."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from switchhub.lab.scenario import Scenario, parse
+
+
+def data(**changes: Any) -> dict[str, Any]:
+    told: dict[str, Any] = {
+        "name": "small",
+        "shows": "a small fleet for the tests",
+        "seconds": 8.0,
+        "zones": ["a", "b"],
+        "balancers": {"count": 2},
+        "clients": {"load": 0.5},
+        "servers": [{"name": "s", "count": 4, "cells": 2}],
+        "classes": [{"name": "any", "load": 20000.0, "life_s": 5.0}],
+    }
+    told.update(changes)
+    return told
+
+
+def trouble(kind: str, at: float, **more: Any) -> dict[str, Any]:
+    return {"name": f"{kind}-{at:g}", "kind": kind, "at_s": at, **more}
+
+
+SMALL: dict[str, dict[str, Any]] = {
+    "calm": data(),
+    "drain": data(troubles=[trouble("drain", 1.0, meets=["s-0"], drain_s=6.0)]),
+    "cold": data(
+        seconds=16.0,
+        clients={"load": 0.7},
+        balancers={"count": 3},
+        servers=[{"name": "s", "count": 8}],
+        troubles=[trouble("rolling", 1.0, stride_s=3.0, drain_s=1.0)],
+    ),
+    "errors": data(
+        classes=[{"name": "pay", "repeat": "unsafe", "load": 20000.0, "life_s": 5.0}],
+        troubles=[trouble("errors", 1.0, value=0.5)],
+    ),
+    "keyed": data(
+        classes=[{"name": "book", "repeat": "keyed", "scope": "cell", "load": 20000.0, "life_s": 5.0}],
+        troubles=[trouble("errors", 1.0, value=0.5)],
+    ),
+}
+
+
+def small(name: str, **changes: Any) -> Scenario:
+    return parse({**SMALL[name], **changes})
--- /dev/null
+++ b/tests/lab/test_model.py
@@ -0,0 +1,111 @@
+"""Runs in virtual time: the same bytes for a scenario and a seed, whoever plays them, and figures that make
+sense."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from switchhub.lab.baselines import POLICIES
+from switchhub.lab.report import compare, comparison, rows, table
+from switchhub.lab.runs import Job, play_all, play_one
+from switchhub.lab.scenario import Scenario
+from switchhub.lab.tally import dump
+from tests.lab.small import small, trouble
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def service(scenario: Scenario, policy: str = "design", seed: int = 1) -> float:
+    found = play_one(Job(scenario, seed, policy))
+    assert not found["broken"] or policy != "design"
+    return float(found["service"])
+
+
+def test_bytes_do_not_depend_on_hashes_or_workers(tmp_path: Path) -> None:
+    written = []
+    for seed in ("0", "1"):
+        out = tmp_path / f"{seed}.json"
+        subprocess.run(
+            [sys.executable, "-m", "switchhub", "lab", "run", "lab/scenarios/hang.toml", "--json", str(out)],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            check=True,
+            capture_output=True,
+        )
+        written.append(out.read_bytes())
+    assert written[0] == written[1]
+    jobs = [Job(small("cold"), seed, policy) for seed in (1, 2) for policy in ("design", "oracle")]
+    assert [dump(each) for each in play_all(jobs, 1)] == [dump(each) for each in play_all(jobs, 3)]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_every_policy_serves_a_calm_day(policy: str) -> None:
+    assert service(small("calm"), policy) > 0.95
+
+
+def test_overload_from_the_start_is_refused_in_part_and_the_rest_served() -> None:
+    heavy = small("calm", clients={"load": 2.0, "retries": 1, "standing": 0.4}, seconds=15.0)
+    assert 0.3 < service(heavy) < 0.8
+    assert service(heavy, "plain") < service(heavy) < service(heavy, "oracle") + 0.05
+
+
+def test_hung_servers_cost_a_second_not_the_run() -> None:
+    hung = small("calm", troubles=[trouble("hang", 2.0, meets=["s-0"])])
+    assert service(hung, "random") < service(hung) - 0.01
+    assert service(hung) > 0.9
+
+
+def test_everything_dead_serves_nobody_and_breaks_no_rule() -> None:
+    dead = small("calm", troubles=[trouble("die", 0.0)])
+    assert service(dead) == 0.0
+
+
+def test_a_server_that_falls_stays_down() -> None:
+    found = play_one(Job(small("cold"), 1, "plain"))
+    assert found["counts"]["servers.fallen"] == len(found["broken"]) > 0
+
+
+def test_balancers_die_and_return_and_all_is_served_again() -> None:
+    troubles = [
+        trouble("balancer-die", 1.0, seconds=1.5, meets=["b0"]),
+        trouble("balancer-restart", 4.0, meets=["b1"]),
+    ]
+    found = play_one(Job(small("calm", troubles=troubles, seconds=14.0), 1))
+    assert not found["broken"]
+    assert found["counts"]["clients.broken"] > 5 and found["counts"]["clients.moved"] > 5
+    assert min(each for each in found["series"]["service"][-7:-1] if each is not None) > 0.95
+
+
+def test_a_comparison_says_what_is_shown_and_what_is_not() -> None:
+    hung = small("calm", troubles=[trouble("hang", 2.0, meets=["s-0"])])
+    left = play_all([Job(hung, seed, "random") for seed in range(4)], 1)
+    right = play_all([Job(hung, seed, "design") for seed in range(4)], 1)
+    found = compare("random", "design", left, right)
+    assert found["shown"] and found["low"] > 0
+    same = compare("design", "design", right, right)
+    assert not same["shown"]
+    assert "no difference shown" in comparison(same)
+    assert "no difference shown" in comparison(compare("a", "b", left[:1], right[:1]))
+    text = table(rows(left + right), ["design", "random"])
+    assert "small" in text and "largest gaps" in text
+
+
+def test_another_checkout_decides_as_this_one_where_it_is_the_same() -> None:
+    ours = play_one(Job(small("cold"), 3))
+    theirs = play_one(Job(small("cold"), 3, against=ROOT))
+    assert {**theirs, "policy": "design"} == ours
+
+
+def test_a_balancer_alone_imports_nothing_of_the_lab_nor_its_libraries() -> None:
+    code = (
+        "import sys; import switchhub.__main__, switchhub.net.listener\n"
+        "heavy = ('switchhub.lab', 'switchhub.cli', 'pydantic', 'rich', 'numpy', 'scipy', 'hdrh')\n"
+        "print([name for name in sys.modules if name.startswith(heavy)])"
+    )
+    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "[]"
