--- /dev/null
+++ b/switchhub/lab/live/__init__.py
@@ -0,0 +1,1 @@
+"""`lab live`: real balancer processes on loopback between stand-ins that speak the protocol."""
--- a/switchhub/lab/report.py
+++ b/switchhub/lab/report.py
@@ -15,7 +15,11 @@
 from rich.table import Table
 from scipy import stats
 
+from switchhub.lab.runs import Job, play_one
+from switchhub.lab.scenario import Scenario
+
 CONFIDENCE = 0.95
+NEAR = 0.10  # by how much the two engines' service may differ
 
 
 def rows(results: list[dict[str, Any]]) -> list[dict[str, Any]]:
@@ -116,3 +120,25 @@
         verdict = f"{'difference' if found['shown'] else 'no difference shown:'} {interval}"
     broken = f"runs with a broken rule: {found['broken_a']}, {found['broken_b']}"
     return f"{head}\n{verdict}\n{broken}"
+
+
+def engines(found: list[Scenario], seed: int) -> int:
+    """Both engines on each scenario, side by side; 1 where a rule broke or they lie further apart than
+    `NEAR`."""
+    from switchhub.lab.live import runner
+
+    bad = 0
+    print(f"{'scenario':18} {'model':>7} {'live':>7} {'apart':>7}  note")
+    for scenario in found:
+        modelled, live = play_one(Job(scenario, seed)), runner.play(scenario, seed)
+        apart = abs(modelled["service"] - live["service"])
+        note = "unfit: " + live["unfit"] if live.get("unfit") else ""
+        for name, each in (("model", modelled), ("live", live)):
+            if each["broken"]:
+                note += f" {name}: {each['broken'][0]['name']}: {each['broken'][0]['text']}"
+        bad += apart > NEAR or bool(modelled["broken"] or live["broken"])
+        print(
+            f"{scenario.name:18} {modelled['service']:7.4f} {live['service']:7.4f} {apart:7.4f}  {note}",
+            flush=True,
+        )
+    return 1 if bad else 0
