--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -17,7 +17,7 @@
 
 from switchhub.lab import scenario as scenarios
 from switchhub.lab.baselines import POLICIES
-from switchhub.lab.runs import Job, play_all, play_one
+from switchhub.lab.runs import Job, play_all, play_shown
 from switchhub.lab.scenario import Scenario, ScenarioError
 from switchhub.lab.tally import dump
 
@@ -203,7 +203,7 @@
 
         result = runner.play(scenario, told.seed, told.against)
     else:
-        result = play_one(Job(scenario, told.seed, told.policy, told.against, told.keep_on or None))
+        result = play_shown(Job(scenario, told.seed, told.policy, told.against, told.keep_on or None))
     write(told.json, result)
     if told.plot:
         _draw(result, told.plot)
--- a/switchhub/lab/judge.py
+++ b/switchhub/lab/judge.py
@@ -102,6 +102,11 @@
         self._died: dict[str, list[float]] = {}
         self._watch: list[tuple[float, str, _Attempt]] = []  # attempts that must have ended by then
         self._fleet = scenario.balancer_names()
+        self._ask_within = scenario.discovery.ask_within_s
+        self._unasked: dict[str, float] = {}  # balancers that neither watch nor ask: since when
+        self._known_out: dict[
+            str, float
+        ] = {}  # servers that discovery knows to drain or to be gone, since when
         self._born: dict[tuple[str, str], float] = {}  # (balancer, server): when it last started, as told
         self._started: dict[str, float] = {}
         self.untold = 0  # servers that fell before those who sent there were told of their start
@@ -187,7 +192,7 @@
             return
         attempt = _Attempt(server, at)
         story.log.append(f"{at:9.4f} {server} takes attempt {len(story.attempts)}")
-        told = self._out.get((story.balancer, server))
+        told = self._told_since(story.balancer, server)
         if told is not None and at > told + self._grace + self._slack and not story.adopted:
             self._break("sent to a draining server", at, request, f"{server}, told {at - told:.3f} s before")
         self._check_repeat(at, request, story, server)
@@ -244,6 +249,20 @@
             self._out.setdefault((balancer, server), at)
         self._born[balancer, server] = born
 
+    def asks(self, at: float, balancer: str, begins: bool) -> None:
+        """A call or a watch of a balancer has come to discovery, or has ended (`begins` is false)."""
+        if begins:
+            self._unasked.pop(balancer, None)
+        else:
+            self._unasked.setdefault(balancer, at)
+
+    def knows(self, at: float, server: str, state: str) -> None:
+        """Discovery has come to know this of a server, whoever hears of it."""
+        if state == "Ready":
+            self._known_out.pop(server, None)
+        else:
+            self._known_out.setdefault(server, at)
+
     def server_started(self, at: float, server: str, born: float | None = None) -> None:
         """A server's process is there, cold; `born`: its start as discovery tells it."""
         self._started[server] = at if born is None else born
@@ -252,6 +271,7 @@
         """A balancer's process has ended. Nothing that it held is excused if it was `planned`."""
         if not planned:
             self._died.setdefault(balancer, []).append(at)
+        self._unasked.pop(balancer, None)
         for key in [each for each in self._out if each[0] == balancer]:
             del self._out[key]
         for key in [each for each in self._born if each[0] == balancer]:
@@ -289,6 +309,16 @@
 
     # What follows from it.
 
+    def _told_since(self, balancer: str, server: str) -> float | None:
+        """Since when the balancer counts as told that the server drains or is gone: written to it, or known
+        to discovery while it has not asked for longer than it may."""
+        told = self._out.get((balancer, server))
+        unasked, known = self._unasked.get(balancer), self._known_out.get(server)
+        if unasked is None or known is None:
+            return told
+        implied = max(known, unasked + self._ask_within)
+        return implied if told is None else min(told, implied)
+
     def _attempt(self, server: str, request: str) -> tuple[_Story | None, _Attempt | None]:
         story = self._stories.get(request)
         if story is None:
--- a/switchhub/lab/live/discovery.py
+++ b/switchhub/lab/live/discovery.py
@@ -40,6 +40,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Its call, if one waits, is over."""
         self._done()
+        self.host.record("asks", f"b{self.balancer}", False)
 
     def data_received(self, data: bytes) -> None:
         """Part of a call."""
@@ -63,6 +64,7 @@
     def _take(self, wait: float) -> None:
         if self._transport.is_closing():
             return
+        self.host.record("asks", f"b{self.balancer}", True)
         if self.host.troubled("roster-out"):
             return self.fail()
         if self.host.troubled("roster-silent"):
@@ -82,6 +84,7 @@
     def fail(self) -> None:
         """503."""
         self._done()
+        self.host.record("asks", f"b{self.balancer}", False)
         self._transport.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 
     def mute(self) -> None:
@@ -173,6 +176,7 @@
             self._late.append(each)
             return
         self.version += 1
+        self.record("knows", each.server, each.state)
         self.known[each.server] = (each.state, each.born)
         self.changed[each.server] = self.version
         for caller in list(self.waiting):
--- a/switchhub/lab/live/part.py
+++ b/switchhub/lab/live/part.py
@@ -129,7 +129,7 @@
     uvloop.run(main())
 
 
-def reset(transport: asyncio.Transport) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """End a connection with a reset."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
--- a/switchhub/lab/model.py
+++ b/switchhub/lab/model.py
@@ -291,8 +291,10 @@
         make: Maker,
         shell: type[Shell] = Shell,
         keep_on: bool = False,
+        passed: Callable[[float], None] | None = None,
     ) -> None:
         self.scenario, self.seed, self.make, self._shell = scenario, seed, make, shell
+        self._passed = passed  # told of the virtual time, for whoever watches
         self._keep_on = keep_on  # after a broken rule
         self.now = 0.0
         self._heap: list[tuple[float, int, Callable[..., Any], tuple[Any, ...]]] = []
@@ -735,8 +737,12 @@
         if self._roster.get("roster-stale"):
             self._late.append(known)
             return
+        self._knows(known)
         self._tell((known,))
 
+    def _knows(self, known: Server) -> None:
+        self.judge.knows(self.now, known.id, "Ready" if known.state is State.READY else known.state.value)
+
     def _tell(self, servers: tuple[Server, ...]) -> None:
         for shell in self.shells:
             if shell.alive and shell.watching:
@@ -765,6 +771,7 @@
 
     def asked(self, shell: Shell) -> None:
         """A balancer calls discovery; calls are worked through in turn."""
+        self.judge.asks(self.now, shell.name, True)
         self._next_call = max(self._next_call, self.now) + 1 / self.scenario.discovery.calls_per_s
         shell.watching = False
         self.at(self._next_call + self.near, self._call, shell)
@@ -783,6 +790,7 @@
     def _lost(self, shell: Shell) -> None:
         if shell.alive:
             shell.watching = False
+            self.judge.asks(self.now, shell.name, False)
             shell.facade.report(self.ms, RosterLost())
 
     def _roster_change(self, effect: str, begins: bool) -> None:
@@ -794,6 +802,8 @@
                     self.at(self.now + wait, self._lost, shell)
         elif effect == "roster-stale" and not self._roster.get(effect):
             late, self._late = self._late, []
+            for each in late:
+                self._knows(each)
             if late:
                 self._tell(tuple(late))
 
@@ -809,6 +819,8 @@
         for name, server in self.servers.items():
             server.advance(self.now)
             self.tally.loads[name].append(0.0 if server.dead else server.utilisation(self.now))
+        if self._passed is not None:
+            self._passed(self.now)
         self.at(self.now + BIN, self._sample)
 
 
--- a/switchhub/lab/perf.py
+++ b/switchhub/lab/perf.py
@@ -33,46 +33,14 @@
 Address = tuple[str, int]
 SIZES = (10, 100, 1000, 5000)
 REPEATS = 5
-PLACEMENT = """
-import json, sys, time
-sys.path.insert(0, sys.argv[1])
-from switchhub.decision import interface as api
-from switchhub.decision.facade import Ended, Facade, Roster, Send, Up
-sys.path.insert(1, sys.argv[4])
-count, rounds = int(sys.argv[2]), int(sys.argv[3])
-kind = api.RequestClass("c", api.Repeat.SAFE, api.Scope.ALL, 0.0, 300.0, 1500.0, 1.0, 60.0)
-settings = api.Settings((kind,), (), 1, 0, 4, False, 0.0, False, True, 1e4, 8000.0, 0.3, 2.5, 2000.0, 1.0,
-0.0, 0.0, 0.0) facade = Facade(settings, 1, 0.0)
-servers = tuple(api.Server(f"s{i}", i % 3, 0, 0, api.State.READY, 1.0, 0.0) for i in range(count))
-facade.report(0.0, Roster(api.RosterKind.WHOLE, servers))
-def place(number):
-    name = f"r{number}"
-    pick = facade.pick(1.0, api.Request(name, 0, 1500.0, 0, 1000.0 + number % 97))
-    assert isinstance(pick, Send)
-    facade.report(1.0, Up(name, 5.0))
-    return name
-standing = [place(number) for number in range(4 * min(count, 500))]
-best = []
-for turn in range(5):
-    begin = time.perf_counter()
-    for number in range(rounds):
-        name = place(1_000_000 * (turn + 1) + number)
-        facade.report(1.0, Ended(standing[number % len(standing)], 5.0, api.Result.OK, True))
-        standing[number % len(standing)] = name
-    best.append((time.perf_counter() - begin) / rounds * 1e6)
-print(json.dumps(sorted(best)[2]))
-"""
 
 
 def placement(checkout: Path, servers: int, quick: bool) -> float:
     """Microseconds of pick, up and end at so many servers; the median of five."""
     rounds = max(20, (4000 if quick else 20_000) // servers)
-    out = subprocess.run(
-        [sys.executable, "-c", PLACEMENT, str(checkout), str(servers), str(rounds), str(ROOT)],
-        capture_output=True,
-        text=True,
-        check=True,
-    )
+    script = Path(__file__).with_name("placement.py")
+    command = [sys.executable, str(script), str(checkout), str(servers), str(rounds)]
+    out = subprocess.run(command, capture_output=True, text=True, check=True)
     return round(float(out.stdout), 2)
 
 
@@ -229,7 +197,8 @@
             _, talker = await loop.create_connection(
                 lambda: Talker(names.next(), False, None), *ports[(number + done) % len(ports)]
             )
-            done += bool(await talker.up)
+            served = await talker.up  # first, for others count meanwhile
+            done += bool(served)
             talker.transport.close()
 
     begin = time.perf_counter()
--- a/switchhub/lab/runs.py
+++ b/switchhub/lab/runs.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,8 +34,10 @@
     keep_on: bool | None = None
 
 
-def play_one(job: Job) -> dict[str, Any]:
-    """The result of one job. A broken rule ends a run of the design, other policies go on."""
+def play_one(job: Job, passed: Callable[[float], None] | None = None) -> dict[str, Any]:
+    """The result of one job. A broken rule ends a run of the design, other policies go on.
+
+    `passed` is told of the virtual time, in seconds, as it goes."""
     if job.against is not None:
         from switchhub.lab.earlier import maker
 
@@ -42,11 +45,18 @@
     else:
         make = model.maker(job.policy)
     keep_on = job.policy != "design" if job.keep_on is None else job.keep_on
-    played = model.Run(job.scenario, job.seed, make, keep_on=keep_on).play()
+    played = model.Run(job.scenario, job.seed, make, keep_on=keep_on, passed=passed).play()
     name = job.policy if job.against is None else "against"
     return result(job.scenario, job.seed, "model", name, played.tally, played.broken, played.met)
 
 
+def play_shown(job: Job) -> dict[str, Any]:
+    """The same, with progress on a terminal's standard error."""
+    with Progress(console=Console(stderr=True), disable=not sys.stderr.isatty(), transient=True) as progress:
+        shown = progress.add_task(job.scenario.name, total=job.scenario.seconds)
+        return play_one(job, lambda now: progress.update(shown, completed=now))
+
+
 def _ignore_interrupts() -> None:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent ends its workers
 
--- a/switchhub/lab/tally.py
+++ b/switchhub/lab/tally.py
@@ -73,7 +73,7 @@
     def answer(self, at: float, kind: int, word: str) -> None:
         """A client has its final answer."""
         self.answers[kind][word] += 1
-        self.steps[self.step(at)][f"answer.{word}"] += 1
+        self.steps[self.step(at)][f"answer.{self._scenario.classes[kind].name}.{word}"] += 1
 
     def event(self, at: float, name: str) -> None:
         """Something that is counted, over time and in all."""
--- a/tests/lab/mutants.py
+++ b/tests/lab/mutants.py
@@ -41,6 +41,16 @@
         super().lists(kind, tuple(each for each in servers if each.state is State.READY))
 
 
+class StopsAsking(Shell):
+    """Does not call discovery again once a call has failed."""
+
+    def tick(self) -> None:
+        if not self.watching and self.run.now > 1.0:
+            self.facade.tick(self.run.ms)
+            return
+        super().tick()
+
+
 class ForgetsBirths(Shell):
     """Takes each server for a warm one."""
 
@@ -101,6 +111,7 @@
     (AnswersLate, "calm", "answered late"),
     (Forges, "calm", "forged answer"),
     (PassesOverDrains, "drain", "sent to a draining server"),
+    (StopsAsking, "unasked", "sent to a draining server"),
     (ForgetsBirths, "cold", "cold server pushed over"),
     (RepeatsWhatMayHaveRun, "errors", "unsafe repeated"),
     (RepeatsWhatMayHaveRun, "keyed", "keyed repeated outside its group or window"),
--- a/tests/lab/small.py
+++ b/tests/lab/small.py
@@ -29,6 +29,14 @@
 SMALL: dict[str, dict[str, Any]] = {
     "calm": data(),
     "drain": data(troubles=[trouble("drain", 1.0, meets=["s-0"], drain_s=6.0)]),
+    "unasked": data(
+        seconds=14.0,
+        discovery={"ask_within_s": 4.0},
+        troubles=[
+            trouble("roster-out", 0.5, seconds=1.0),
+            trouble("drain", 2.0, meets=["s-0"], drain_s=12.0),
+        ],
+    ),
     "cold": data(
         seconds=16.0,
         clients={"load": 0.7},
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -8,14 +8,14 @@
 import os
 import resource
 import signal
-import socket
-import struct
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from switchhub.lab.live.part import reset as reset_transport
+
 ROOT = Path(__file__).parent.parent
 WITHIN = 10.0  # seconds in which anything awaited must have come
 IDS = iter(range(1, 1_000_000))
@@ -315,9 +315,7 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection with a reset."""
-    sock: socket.socket = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.close()
+    reset_transport(writer.transport)
 
 
 def memory(pid: int) -> int:
