--- /dev/null
+++ b/switchhub/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What the balancer does about its own overload."""
--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -134,7 +134,10 @@
         request = event.request
         conn = _Conn(request, self._settings, self._load_of(request), self._now + request.budget)
         self._conns[request.id] = conn
-        self._place(conn)
+        if request.late:  # Danger: an overloaded process works on for clients that give up meanwhile
+            self._give_up(conn)
+        else:
+            self._place(conn)
 
     def _on_adopted(self, event: ConnectionAdopted) -> None:
         node = self._nodes.get(event.server)
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -129,6 +129,8 @@
     key: str | None = None
     group: str | None = None
     returning: bool = False
+    late: bool = False
+    """This process can't set it up before the client's time is over."""
 
 
 # Events in.
--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -1,4 +1,4 @@
-"""`python -m switchhub lab ...`: check, run, table, compare, hunt, plot, perf.
+"""`python -m switchhub lab ...`: check, run, table, compare, engines, hunt, plot, perf, storm.
 
 Owns: the arguments, what is printed and the exit status: 0, 1 when a rule is broken, 2 for wrong use or a
 file that does not serve. Must never: start anything before every file named is checked whole.
@@ -125,6 +125,14 @@
     one.add_argument("--out", type=Path, default=Path("found"))
     one.add_argument("--workers", type=int, default=0)
 
+    one = verb("storm", "many clients at one real balancer", "storm --clients 1000,3000 --wait-ms 1200")
+    one.add_argument("--clients", type=seeds, default=[1000, 3000], help="how many at once, one storm each")
+    one.add_argument("--rate", type=float, default=0.0, help="so many a second instead, for --seconds")
+    one.add_argument("--seconds", type=float, default=10.0)
+    one.add_argument("--wait-ms", type=int, default=1200)
+    one.add_argument("--against", type=checkout, metavar="DIR", help="another checkout's balancer")
+    one.add_argument("--json", type=Path, metavar="FILE")
+
     one = verb("perf", "what the balancer itself costs", "perf --json perf.json")
     one.add_argument(
         "--against", type=checkout, metavar="DIR", help="beside another checkout, in the same run"
@@ -268,6 +276,15 @@
     return hunt.run(told.draws, told.seed, told.out, told.workers)
 
 
+def _storm(told: argparse.Namespace) -> int:
+    from switchhub.lab import storm
+
+    rows = storm.run(told.clients, told.wait_ms, told.rate, told.seconds, told.against)
+    write(told.json, rows)
+    print(storm.table(rows))
+    return 1 if any(row["late_up"] or row["reset"] or row["unanswered"] for row in rows) else 0
+
+
 def _perf(told: argparse.Namespace) -> int:
     from switchhub.lab import perf
 
@@ -286,6 +303,7 @@
     "plot": _plot,
     "hunt": _hunt,
     "perf": _perf,
+    "storm": _storm,
 }
 
 
--- /dev/null
+++ b/switchhub/lab/storm.py
@@ -0,0 +1,117 @@
+"""`lab storm`: many clients at once, or at a rate, at one real balancer between sound servers; who is
+answered when.
+
+Owns: the storm's processes. Must never: count what the machine's own accept queue turned away as the
+balancer's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.table import Table
+
+from switchhub.lab.live.runner import ROOT
+from switchhub.lab.perf import Names, Stand, setups
+
+WORKERS = 4
+SETTLE = 0.5  # seconds between the calm rate and the storm
+BINS = ("served", "refused", "late_up", "late", "reset", "unanswered", "unconnected")
+
+
+def sort_out(found: list[list[Any]], wait: float) -> dict[str, Any]:
+    """Clients by what became of them; `wait` in seconds from a client's last byte."""
+    counts = dict.fromkeys(BINS, 0)
+    times = HdrHistogram(1, 60_000_000, 3)
+    for sent, answered, word in found:
+        if word == "unconnected":
+            counts["unconnected"] += 1
+        elif answered is None:
+            counts["reset" if word in ("reset", "ended") else "unanswered"] += 1
+        elif answered - sent > wait:
+            counts["late_up" if word == "UP" else "late"] += 1
+        else:
+            counts["served" if word == "UP" else "refused"] += 1
+            if word == "UP":
+                times.record_value(max(1, int((answered - sent) * 1e6)))
+    taken = len(found) - counts["unconnected"]
+    in_time = counts["served"] + counts["refused"]
+    return {
+        "clients": len(found),
+        **counts,
+        "in_time": round(in_time / taken, 5) if taken else 1.0,
+        "served_p50_ms": times.get_value_at_percentile(50) / 1000,
+        "served_p99_ms": times.get_value_at_percentile(99) / 1000,
+    }
+
+
+async def _play(checkout: Path, clients: int, wait_ms: int, rate: float, folder: Path) -> dict[str, Any]:
+    stand, names = Stand(checkout, 5000, folder), Names()
+    workers: list[asyncio.subprocess.Process] = []
+    try:
+        await stand.start()
+        calm = await setups(stand.through, names, 20, 1.0)
+        await asyncio.sleep(SETTLE)
+        (host, port) = stand.through[0]
+        start = time.monotonic() + 0.5
+        for number in range(WORKERS):
+            count = clients // WORKERS + (number < clients % WORKERS)
+            told = (host, port, f"127.0.{1 + number}.1", count, wait_ms, start, rate / WORKERS)
+            workers.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "switchhub.lab.storm_clients",
+                    *(str(each) for each in told),
+                    str((number + 1) * 10_000_000),
+                    cwd=ROOT,
+                    stdout=asyncio.subprocess.PIPE,
+                )
+            )
+        found: list[list[Any]] = []
+        for out, _ in await asyncio.gather(*(each.communicate() for each in workers)):
+            found += json.loads(out)
+        await asyncio.sleep(SETTLE)
+        after = await setups(stand.through, names, 20, 1.0)
+        return {
+            **sort_out(found, wait_ms / 1000),
+            "calm_rate": round(calm),
+            "rate_after": round(after),
+        }
+    finally:
+        for each in workers:
+            if each.returncode is None:
+                each.kill()
+        await stand.stop()
+
+
+def run(
+    sizes: list[int], wait_ms: int, rate: float, seconds: float, against: Path | None
+) -> list[dict[str, Any]]:
+    """One row for each storm; with a rate, one for so many seconds of it."""
+    rows = []
+    for size in [round(rate * seconds)] if rate else sizes:
+        with tempfile.TemporaryDirectory(prefix="switchhub-lab-") as folder:
+            rows.append(asyncio.run(_play(against or ROOT, size, wait_ms, rate, Path(folder))))
+    return rows
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    """As a table."""
+    out = Table(box=None, pad_edge=False)
+    for name in rows[0]:
+        out.add_column(name, justify="right")
+    for row in rows:
+        out.add_row(*(f"{each:g}" for each in row.values()))
+    text = io.StringIO()
+    Console(file=text, width=200, no_color=True).print(out)
+    return text.getvalue().rstrip()
--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -28,6 +28,7 @@
 _WORD = re.compile(r"[0-9A-Za-z._/-]{1,64}")  # an id, a key
 _LINGER_NONE = struct.pack("ii", 1, 0)
 _LF = 10
+_TCP_INFO = struct.Struct("8x44xI")  # linux/tcp.h, struct tcp_info up to tcpi_last_data_recv
 
 
 class LineError(ValueError):
@@ -131,6 +132,24 @@
         self._end += count
         return count
 
+    def fill_now(self) -> int:
+        """What has come already, without waiting; 0 if nothing has, or the end, which `fill` tells apart."""
+        try:
+            count = self.sock.recv_into(self._view[self._end :]) if self._end < LINE_MAX else 0
+        except OSError:
+            return 0
+        self._end += count
+        return count
+
+    def age(self) -> float:
+        """Milliseconds since its last byte came, as the kernel counts them, in steps of some; 0 if it does
+        not."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+            return float(_TCP_INFO.unpack(info)[-1])
+        except (OSError, struct.error):
+            return 0.0
+
     def line(self) -> memoryview | None:
         """The first whole line, its end with it, or nothing yet."""
         at = self._buffer.find(_LF, self._start, self._end)
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -8,23 +8,27 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import os
 import socket
 import time
+from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
 from loguru import logger
 
-from switchhub.decision.facade import Facade
+from switchhub.admission.gate import Gate
+from switchhub.decision.facade import Facade, Send
 from switchhub.net.config import Config, ConfigError, read_config
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
 from switchhub.net.health import Health
-from switchhub.net.lines import Sockets, Wire
-from switchhub.net.session import FINISH_WITHIN, Session
+from switchhub.net.lines import LineError, Sockets, Wire, parse_head
+from switchhub.net.session import EARLY, FINISH_WITHIN, Session, final_answer, read_request
 
 BACKLOG = 4096
+AT_ONCE = 64  # connections taken in before those that stand have their turn
 TICK = 0.02  # seconds between two looks at the module's chores
 CHECK = 0.1  # seconds between two looks at silent connections
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
@@ -72,6 +76,10 @@
         self.sockets = Sockets(config.sockets)
         self.sessions: dict[str, Session] = {}
         self.ids = Ids()
+        self.gate = Gate()
+        self._turns: deque[asyncio.Future[bool]] = deque()  # requests that wait for their turn, in order
+        self._latest: list[tuple[float, int, asyncio.Future[bool]]] = []  # the same, by when they must start
+        self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -127,14 +135,21 @@
         while True:
             try:
                 sock, _ = await self.loop.sock_accept(self._sock)
+                for _ in range(AT_ONCE - 1):
+                    self._take_in(sock)
+                    if self.sockets.out:
+                        break
+                    sock, _ = self._sock.accept()
+                else:
+                    self._take_in(sock)
+            except BlockingIOError:  # the backlog is empty
+                pass
             except OSError as error:  # EMFILE, or gone again
                 logger.warning("accept: {}", error)
                 self.counters.add("accept.failed")
                 self.sockets.relieve()
                 await asyncio.sleep(NO_DESCRIPTORS)
                 continue
-            self.counters.add("accepted")
-            self._start(Session(self, sock).run())
             given_up = self.sockets.relieve()
             if given_up:
                 self.counters.add("clients.given_up", given_up)
@@ -143,6 +158,74 @@
                 self.sockets.relieve()
                 await asyncio.sleep(NO_DESCRIPTORS)
 
+    def _take_in(self, sock: socket.socket) -> None:
+        self.counters.add("accepted")
+        wire = self.sockets.of_client(sock)
+        if not self._refused_at_once(wire):
+            self._start(Session(self, wire).run())
+
+    def _refused_at_once(self, wire: Wire) -> bool:
+        """Refuse, without a session, a request that is here whole and can't be in time.
+
+        Danger: a session costs as much as ten refusals, and makes those late that could be served. Whatever
+        else is the matter with a request, its session finds."""
+        if not wire.fill_now() or (line := wire.line()) is None or len(line) != len(wire.rest()):
+            return False
+        now, age = self.clock(), wire.age()
+        if self.gate.prompt(now, age):
+            return False
+        try:
+            head = parse_head(line)
+            request = read_request(head, self.config)
+        except LineError:
+            return False
+        wait = request.budget + EARLY
+        if "at" in head.values or not self.gate.hopeless(age, wait) or not self.ids.take(request.id):
+            return False
+        self.counters.add("requests.taken")
+        self.counters.add("requests.late")
+        pick = self.facade.pick(now, request._replace(late=True))
+        assert not isinstance(pick, Send)
+        name, answer = final_answer(pick)
+        self.counters.add(f"answers.{name}")
+        if not wire.say(answer):
+            self.counters.add("answers.undelivered")
+        self.ids.end(request.id)
+        wire.close()
+        return True
+
+    async def turn(self, latest: float) -> bool:
+        """Wait until it is this request's turn to be set up; whether it came by then."""
+        if not self._turns:
+            self._start(self._give_turns())
+        turn: asyncio.Future[bool] = self.loop.create_future()
+        self._turns.append(turn)
+        self._count += 1
+        heapq.heappush(self._latest, (latest, self._count, turn))
+        self.gate.waiting += 1
+        try:
+            return await turn
+        finally:
+            self.gate.waiting -= 1
+
+    async def _give_turns(self) -> None:
+        """In order, a few in each turn of the loop; whose time is over is told so at once, out of order."""
+        while self._turns:
+            await asyncio.sleep(0)  # what is under way goes first
+            now = self.clock()
+            while self._latest and self._latest[0][0] < now:
+                turn = heapq.heappop(self._latest)[2]
+                if not turn.done():
+                    turn.set_result(False)
+            left = self.gate.turn(now)
+            while self._turns and (left or self._turns[0].done()):
+                turn = self._turns.popleft()
+                if not turn.done():
+                    turn.set_result(True)
+                    left -= 1
+        self._latest.clear()
+        self.gate.rest()
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import re
-import socket
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -18,7 +17,8 @@
 
 from loguru import logger
 
-from switchhub.decision.facade import Adopted, Delay, Ended, Failed, Left, Load, Refused, Send, Up
+from switchhub.admission.gate import Verdict
+from switchhub.decision.facade import Adopted, Delay, Ended, Left, Load, Pick, Refused, Send, Up
 from switchhub.decision.interface import Request, Result
 from switchhub.net.config import Config
 from switchhub.net.health import LoadLines
@@ -28,6 +28,9 @@
     from switchhub.net.listener import Listener
 
 EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
+LAST = (
+    10.0  # milliseconds before it from which `UP` would come too late: the kernel counts ages in steps of 4
+)
 HEAD_WITHIN = 2.0  # seconds from its connecting in which a client's first line must be whole
 PINGS_MAX = 8  # that may come before it
 FINISH_WITHIN = 1.0  # seconds that an ended connection's other side has to end too
@@ -81,23 +84,32 @@
     return Request(head.id, index, wait - EARLY, tenant, hint, head.key, values.get("g"), again)
 
 
+def final_answer(pick: Pick) -> tuple[str, bytes]:
+    """A pick that is no server: what it is counted as, and the line."""
+    if not isinstance(pick, Refused):
+        return "failed", FAILED
+    wait = f" {pick.retry_after:.0f}" if pick.retry_after else ""
+    return "refused", f"BUSY{wait}\r\n".encode()
+
+
 ENDED = {End.SERVER_RESET: Result.RESET, End.SILENT: Result.TIMEOUT}  # others are no fault of the server
 
 
 class Session:
     """One client."""
 
-    def __init__(self, listener: Listener, sock: socket.socket) -> None:
+    def __init__(self, listener: Listener, client: Wire) -> None:
         self._node = listener
         self._counters = listener.counters
         self._clock: Callable[[], float] = listener.clock
-        self.client = listener.sockets.of_client(sock)
+        self.client = client
         self.server: Wire | None = None
         self.id = ""
         self.place = ""  # the server of the present attempt
         self.up = False
         self.up_at = 0.0
         self._heard = self._clock()  # when the client last sent something
+        self._arrived = self._deadline = 0.0  # when its first line's last byte came, when it gives up
         self._asked: deque[float] = deque(maxlen=MESSAGES_KEPT)  # when lines went that wait for an answer
         self._sending = self._move_asked = False
         self._stands: asyncio.Future[None] = listener.loop.create_future()
@@ -113,8 +125,10 @@
             line = await self._first_line()
             if line is None:
                 return
+            self._arrived = self._clock() - self.client.age()
             head = parse_head(line)
             request = read_request(head, self._node.config)
+            self._deadline = self._arrived + request.budget + EARLY
             if len(self.client.rest()) > len(line):
                 raise LineError("a client waits for its answer")
             if not self._node.ids.take(request.id):
@@ -125,6 +139,8 @@
             self._node.sessions[request.id] = self
             self._counters.add("requests.taken")
             logger.debug("{} taken: key {} {}", head.id, head.key, head.values)
+            if "at" not in head.values:
+                request = await self._admitted(request)
             reader = asyncio.create_task(self._from_client())
             setting_up = self._adopt if "at" in head.values else self._set_up
             if await setting_up(head, request):
@@ -183,16 +199,27 @@
 
     # Setting up.
 
+    async def _admitted(self, request: Request) -> Request:
+        """Wait for its turn, if this process is behind; the request with what is left of its time."""
+        gate, now = self._node.gate, self._clock()
+        wait = self._deadline - self._arrived
+        verdict = gate.verdict(now, now - self._arrived, wait)
+        if verdict is Verdict.WAIT:
+            if not await self._node.turn(gate.latest(self._arrived, wait)):
+                verdict = Verdict.REFUSE
+            now = self._clock()
+        late = verdict is Verdict.REFUSE
+        if late:
+            self._counters.add("requests.late")
+        return request._replace(budget=self._deadline - EARLY - now, late=late)
+
     async def _set_up(self, head: Head, request: Request) -> bool:
         """Try as the module says until the connection stands or the request is answered."""
-        facade, health = self._node.facade, self._node.health
+        facade, health, begun = self._node.facade, self._node.health, self._clock()
         while True:
             pick = facade.pick(self._clock(), request)
-            if isinstance(pick, Refused):
-                wait = f" {pick.retry_after:.0f}" if pick.retry_after else ""
-                return self._answer("refused", f"BUSY{wait}\r\n".encode())
-            if isinstance(pick, Failed):
-                return self._answer("failed", FAILED)
+            if not isinstance(pick, Send):
+                return self._answer(*final_answer(pick))
             started = self._clock()
             attempt = asyncio.create_task(self._attempt(head, pick, started))
             await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
@@ -212,10 +239,14 @@
             elapsed = now - started
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
             self._counters.add(f"attempts.{result.value}")
-            if result is Result.OK:
+            if result is Result.OK and now <= self._deadline - LAST:
+                self._node.gate.answered(now - begun)
                 health.answered(pick.server, now)
                 facade.report(now, Up(request.id, elapsed))
                 return True
+            if result is Result.OK:  # its client has given up: it gets no server
+                self._counters.add("attempts.late")
+                result = Result.CANCELLED
             if self.server is not None:
                 self.server.close()
                 self.server = None
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,129 @@
+"""The process's own overload: the gate alone, and the real program with more clients than it can set up."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import time
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from switchhub.admission.gate import CARE, PER_TURN, PROMPT, SPARE, TURN, Gate, Verdict
+from switchhub.decision.facade import Facade, Refused, Roster
+from switchhub.decision.interface import Request, RosterKind
+from switchhub.net.lines import Sockets, Wire
+from tests.rig import Server, running
+from tests.world import make_settings, server
+
+
+def test_calm_requests_start_at_once_and_a_turn_holds_so_many() -> None:
+    gate = Gate()
+    verdicts = [gate.verdict(100.0, 0.0, 1200.0) for _ in range(PER_TURN + 1)]
+    assert verdicts == [Verdict.START] * PER_TURN + [Verdict.WAIT]
+    assert gate.verdict(100.0 + TURN + 0.1, 0.0, 1200.0) is Verdict.START
+    assert gate.verdict(200.0, PROMPT, 1200.0) is Verdict.WAIT, "what was read late comes after what waits"
+
+
+def test_what_would_come_up_too_late_is_refused_while_that_is_in_time() -> None:
+    gate = Gate()
+    gate.waiting = 100
+    need = 101 * gate.cost + CARE * gate.spent + SPARE
+    assert gate.verdict(0.0, 0.0, need) is Verdict.WAIT
+    assert gate.verdict(0.0, 1.0, need) is Verdict.REFUSE
+    assert gate.verdict(0.0, 0.0, 60_000.0) is Verdict.WAIT, "a patient client waits on"
+    assert gate.verdict(0.0, 0.0, 50.0) is Verdict.REFUSE
+
+
+def test_the_pace_is_learnt_in_a_few_turns_and_no_pause_counts() -> None:
+    gate = Gate()
+    gate.waiting = 1000
+    now = 0.0
+    for _ in range(60):
+        now += 4.0 * PER_TURN
+        assert gate.turn(now) == PER_TURN
+    assert 3.9 < gate.cost < 4.1
+    gate.rest()
+    gate.turn(now + 60_000.0)
+    assert 3.9 < gate.cost < 4.1, "nobody waited meanwhile"
+    gate.answered(10_000.0)
+    assert gate.spent < 10.0, "a slow server says nothing of this process"
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.floats(0, 50), st.floats(0, 100), st.floats(20, 60_000)), max_size=60))
+def test_nobody_is_let_in_who_can_not_be_in_time(drawn: list[tuple[float, float, float]]) -> None:
+    gate, now = Gate(), 0.0
+    for pause, age, wait in drawn:
+        now += pause
+        verdict = gate.verdict(now, age, wait)
+        if verdict is Verdict.WAIT:
+            assert gate.latest(now - age, wait) >= now + gate.waiting * gate.cost
+            gate.waiting += 1
+
+
+def test_the_module_refuses_what_is_late_and_sends_it_nowhere() -> None:
+    facade = Facade(make_settings(), 1, 1000.0)
+    facade.report(1000.0, Roster(RosterKind.WHOLE, (server("a"),)))
+    assert facade.pick(1000.0, Request("r", 0, 900.0, late=True)) == Refused(0.0)
+    assert facade._balancer.sums() == {"a": 0}
+
+
+def test_the_age_of_what_lies_unread_is_the_kernels() -> None:
+    listening = socket.create_server(("127.0.0.1", 0))
+    client = socket.create_connection(listening.getsockname())
+    client.send(b"OPEN")
+    time.sleep(0.1)  # in the backlog
+    sock, _ = listening.accept()
+    wire = Wire(sock, Sockets(100))
+    assert 95.0 <= wire.age() < 5000.0
+    assert wire.fill_now() == 4
+    client.send(b" ")
+    while not wire.fill_now():
+        pass
+    assert wire.age() < 90.0, "the last byte's"
+    wire.close()
+    assert wire.age() == 0.0
+    client.close()
+    listening.close()
+
+
+def test_a_process_that_stood_still_answers_in_time_or_not_at_all(tmp_path: Path) -> None:
+    """Stopped for longer than its clients wait, it serves none of those that have given up meanwhile."""
+
+    async def run() -> None:
+        one = Server("a")
+        async with running(tmp_path, one) as (program, _):
+            program.process.send_signal(signal.SIGSTOP)
+            gone = [await program.open(wait=300) for _ in range(40)]
+            patient = [await program.open(wait=20_000) for _ in range(20)]
+            await asyncio.sleep(0.8)  # the time that they wait, by the clock
+            program.process.send_signal(signal.SIGCONT)
+            heard = [await each.line() for each in gone]
+            assert not any(line.startswith(b"UP") for line in heard)
+            served = [await each.line() for each in patient]
+            assert all(line.startswith(b"UP") for line in served)
+            assert len(one.opened) == 20, "no server for those that had given up"
+
+    asyncio.run(run())
+
+
+def test_a_burst_is_answered_in_time_and_leaves_nothing_behind(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with running(tmp_path, Server("a"), Server("b"), sockets=4096) as (program, _):
+            clients = await asyncio.gather(*(program.open(wait=400) for _ in range(600)))
+            begin = asyncio.get_running_loop().time()
+            heard = await asyncio.gather(*(each.line() for each in clients))
+            assert asyncio.get_running_loop().time() - begin < 5.0
+            kinds = {line.split(b" ")[0].strip() for line in heard}
+            assert kinds <= {b"UP", b"BUSY"}
+            assert sum(line.startswith(b"UP") for line in heard) > 20
+            for client in clients:
+                client.writer.close()
+            await asyncio.sleep(0)
+            for _ in range(20):
+                assert (await (await program.open()).line()).startswith(b"UP")
+
+    asyncio.run(run())
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -8,7 +8,7 @@
 from typing import Any, cast
 
 from switchhub.net.counters import Counters
-from switchhub.net.lines import Sockets
+from switchhub.net.lines import Sockets, Wire
 from switchhub.net.session import SILENT_AFTER, SILENT_TOO, VANISHED_AFTER, Session
 
 
@@ -23,7 +23,7 @@
             sockets=Sockets(100),
             loop=asyncio.get_running_loop(),
         )
-        self.session = Session(cast(Any, node), here)
+        self.session = Session(cast(Any, node), Wire(here, node.sockets))
         self.session.up = True
         self.session._asked.append(1000.0)
 
