The hand-shake's round trip comes off a client's time; own lateness accuses no server: 20,000 at once

Cause: at 20,000 clients the accept queue of 4,096 overflows; the kernel drops the first bytes, the client sends them again 200 ms later or more, and by their age they look fresh: 922 got UP too late. And a set-up whose answer lay unread counted as timed out, which set sound servers aside.

Change: the hand-shake's round trip, or a second where it was repeated, is taken off the client's time (TCP_INFO again). While requests wait, up to 256 connections are accepted in one turn. A connection or a verdict that came in time but was seen late counts as what it is. `lab storm` counts apart those whose bytes the machine's accept queue dropped.

--- a/switchhub/lab/storm_clients.py
+++ b/switchhub/lab/storm_clients.py
@@ -24,6 +24,7 @@
 IP_BIND_ADDRESS_NO_PORT = 24
 LISTENS = 1.5  # seconds past its wait that a client still listens, to hear what comes too late
 BATCH = 50  # connects between two looks at what has come
+TCP_INFO = struct.Struct("100xI")  # linux/tcp.h: total_retrans of tcp_info
 LINGER = struct.pack("ii", 1, 0)
 
 
@@ -54,6 +55,15 @@
         watch.unregister(client.sock)
 
 
+def _dropped(client: Client) -> bool:
+    """Whether the other machine's accept queue was full: what this client sent had to be sent again."""
+    try:
+        info = client.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        return bool(TCP_INFO.unpack(info)[0])
+    except (OSError, struct.error):
+        return False
+
+
 def main() -> None:
     """Play them all."""
     host, port, source, count, wait, start, rate, first = sys.argv[1:]
@@ -103,7 +113,7 @@
     found = []
     for client in clients:
         word = client.word or ("unconnected" if not client.sent else "nothing")
-        found.append([client.sent, client.answered or None, word])
+        found.append([client.sent, client.answered or None, word, _dropped(client)])
         client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
         client.sock.close()
     print(json.dumps(found))
--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -28,7 +28,8 @@
 _WORD = re.compile(r"[0-9A-Za-z._/-]{1,64}")  # an id, a key
 _LINGER_NONE = struct.pack("ii", 1, 0)
 _LF = 10
-_TCP_INFO = struct.Struct("8x44xI")  # linux/tcp.h, struct tcp_info up to tcpi_last_data_recv
+_TCP_INFO = struct.Struct("8x44xI12xI28xI")  # linux/tcp.h: last_data_recv, rtt and total_retrans of tcp_info
+REPEATED = 1000.0  # milliseconds after which a hand-shake is repeated for the first time
 
 
 class LineError(ValueError):
@@ -141,14 +142,26 @@
         self._end += count
         return count
 
-    def age(self) -> float:
-        """Milliseconds since its last byte came, as the kernel counts them, in steps of some; 0 if it does
-        not."""
+    def connected(self) -> bool:
+        """Whether the other side has accepted, as the kernel knows it."""
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return False
+        return True
+
+    def ages(self) -> tuple[float, float]:
+        """Milliseconds since its last byte came, in the kernel's steps, and that it was under way before that
+        at most; 0 where the kernel does not tell. To be asked with the first line.
+
+        The second is the hand-shake's round trip. Where the backlog was full the kernel dropped the client's
+        first bytes, they came again later, and that shows as a long round trip or a hand-shake repeated."""
         try:
             info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
-            return float(_TCP_INFO.unpack(info)[-1])
+            age, trip, repeated = _TCP_INFO.unpack(info)
         except (OSError, struct.error):
-            return 0.0
+            return 0.0, 0.0
+        return float(age), REPEATED if repeated else trip / 1000
 
     def line(self) -> memoryview | None:
         """The first whole line, its end with it, or nothing yet."""
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -28,7 +28,7 @@
 from switchhub.net.session import EARLY, FINISH_WITHIN, Session, final_answer, read_request
 
 BACKLOG = 4096
-AT_ONCE = 64  # connections taken in before those that stand have their turn
+AT_ONCE, AT_NEED = 64, 256  # connections taken in before those that stand have their turn; while it is behind
 TICK = 0.02  # seconds between two looks at the module's chores
 CHECK = 0.1  # seconds between two looks at silent connections
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
@@ -135,7 +135,7 @@
         while True:
             try:
                 sock, _ = await self.loop.sock_accept(self._sock)
-                for _ in range(AT_ONCE - 1):
+                for _ in range((AT_NEED if self.gate.waiting else AT_ONCE) - 1):
                     self._take_in(sock)
                     if self.sockets.out:
                         break
@@ -171,7 +171,8 @@
         else is the matter with a request, its session finds."""
         if not wire.fill_now() or (line := wire.line()) is None or len(line) != len(wire.rest()):
             return False
-        now, age = self.clock(), wire.age()
+        now = self.clock()
+        age, trip = wire.ages()
         if self.gate.prompt(now, age):
             return False
         try:
@@ -179,7 +180,7 @@
             request = read_request(head, self.config)
         except LineError:
             return False
-        wait = request.budget + EARLY
+        wait = request.budget + EARLY - trip
         if "at" in head.values or not self.gate.hopeless(age, wait) or not self.ids.take(request.id):
             return False
         self.counters.add("requests.taken")
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -125,10 +125,11 @@
             line = await self._first_line()
             if line is None:
                 return
-            self._arrived = self._clock() - self.client.age()
+            age, trip = self.client.ages()
+            self._arrived = self._clock() - age
             head = parse_head(line)
             request = read_request(head, self._node.config)
-            self._deadline = self._arrived + request.budget + EARLY
+            self._deadline = self._arrived + request.budget + EARLY - trip
             if len(self.client.rest()) > len(line):
                 raise LineError("a client waits for its answer")
             if not self._node.ids.take(request.id):
@@ -276,9 +277,13 @@
         try:
             async with asyncio.timeout_at(min(ends, loop.time() + self._node.config.dial_timeout / 1000)):
                 await loop.sock_connect(server.sock, address)
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            if not server.connected():
+                return Result.UNREACHABLE
+            self._counters.add("attempts.own_delay")  # it stands: this process was late to see it
+        except OSError:
             return Result.UNREACHABLE
-        if not self._node.discovery.ready(pick.server):
+        if loop.time() >= ends or not self._node.discovery.ready(pick.server):
             return Result.NOT_SENT
         left = max(1, int((ends - loop.time()) * 1000))
         try:
@@ -296,7 +301,11 @@
                     if not await server.fill():
                         return Result.RESET
         except TimeoutError:
-            return Result.TIMEOUT
+            server.fill_now()  # what came in time may lie unread, if this process was late
+            if (late := server.line()) is None:
+                return Result.TIMEOUT
+            self._counters.add("attempts.own_delay")
+            line = late
         except OSError:
             return Result.RESET
         except LineError:
