--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -142,6 +142,15 @@
         self._end += count
         return count
 
+    def gone(self) -> bool:
+        """Whether the other side has ended it, with nothing left to read."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def connected(self) -> bool:
         """Whether the other side has accepted, as the kernel knows it."""
         try:
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -302,6 +302,9 @@
                     session.move()
                 credit -= int(credit)
             await asyncio.sleep(TICK)
+        for _, _, turn in self._latest:
+            if not turn.done():
+                turn.set_result(False)
         for session in list(self.sessions.values()):
             session.give_up()
         if self._tasks:
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -208,6 +208,8 @@
         if verdict is Verdict.WAIT:
             if not await self._node.turn(gate.latest(self._arrived, wait)):
                 verdict = Verdict.REFUSE
+            if self.client.gone():
+                raise ConnectionResetError("the client has left while it waited for its turn")
             now = self._clock()
         late = verdict is Verdict.REFUSE
         if late:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -131,3 +131,35 @@
                     in_a_row = in_a_row + 1 if line.startswith(b"UP") else 0
 
     asyncio.run(run())
+
+
+def test_a_stop_in_a_burst_answers_everybody(tmp_path: Path) -> None:
+    """Patient clients wait for their turn when the stop begins; each is still answered or moved."""
+
+    async def run() -> None:
+        async with running(tmp_path, Server("a"), Server("b"), sockets=4096) as (program, _):
+            clients = await asyncio.gather(*(program.open(wait=20_000) for _ in range(500)))
+            program.process.send_signal(signal.SIGTERM)
+            heard = await asyncio.gather(*(each.end() for each in clients))
+            lines = [each.split(b"\r\n") for each in heard]
+            assert all(each[0].split(b" ")[0] in (b"UP", b"BUSY", b"FAILED") for each in lines)
+            assert all(each[1] == b"MOVE" for each in lines if each[0].startswith(b"UP"))
+            assert await program.stop() == 0
+
+    asyncio.run(run())
+
+
+def test_who_leaves_while_waiting_takes_no_server(tmp_path: Path) -> None:
+    async def run() -> None:
+        one = Server("a")
+        async with running(tmp_path, one, sockets=4096) as (program, _):
+            program.process.send_signal(signal.SIGSTOP)
+            clients = [await program.open(wait=20_000) for _ in range(100)]
+            for client in clients:
+                client.writer.close()
+            await asyncio.gather(*(each.writer.wait_closed() for each in clients))
+            program.process.send_signal(signal.SIGCONT)
+            assert (await (await program.open()).line()).startswith(b"UP")
+            assert len(one.opened) <= 1 + PER_TURN, "no more than one turn's"
+
+    asyncio.run(run())
