The lab refuses files it can't write before it plays; drains told under way are tested

Cause: tried as a new user would: `--json` into a folder that is not there ended a whole run with a traceback.

Change: files for results and pictures are checked with the arguments, status 2. A scenario whose first lines are 120 ms under way while servers drain joins the tests.

Measured: the tests of both; attempts that were not sent and that met a draining server both occur, no rule breaks.

--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -49,6 +49,21 @@
     return names
 
 
+def new_file(text: str) -> Path:
+    """A file that can be written once a run is over."""
+    path = Path(text)
+    if path.is_dir() or not path.absolute().parent.is_dir():
+        raise argparse.ArgumentTypeError(f"{text!r} can't be written: no such folder")
+    return path
+
+
+def picture(text: str) -> Path:
+    """A picture's file."""
+    if Path(text).suffix not in (".svg", ".png"):
+        raise argparse.ArgumentTypeError(f"{text!r} must end in .svg or .png")
+    return new_file(text)
+
+
 def checkout(text: str) -> Path:
     """Another checkout of this project."""
     path = Path(text).resolve()
@@ -86,8 +101,8 @@
     one.add_argument(
         "--against", type=checkout, metavar="DIR", help="play another checkout's balancer instead"
     )
-    one.add_argument("--json", type=Path, metavar="FILE", help="write the result there")
-    one.add_argument("--plot", type=Path, metavar="FILE", help="draw it there, .svg or .png")
+    one.add_argument("--json", type=new_file, metavar="FILE", help="write the result there")
+    one.add_argument("--plot", type=picture, metavar="FILE", help="draw it there, .svg or .png")
     one.add_argument("--keep-on", action="store_true", help="go on after a broken rule")
 
     one = verb(
@@ -97,7 +112,7 @@
     one.add_argument("--seeds", type=seeds, default=[1, 2, 3])
     one.add_argument("--policies", type=policies, default=list(POLICIES))
     one.add_argument("--workers", type=int, default=0, help="processes; as many as there are cores if 0")
-    one.add_argument("--json", type=Path, metavar="FILE")
+    one.add_argument("--json", type=new_file, metavar="FILE")
 
     one = verb(
         "compare", "two policies or checkouts, seed by seed", "compare design plain --scenario hang.toml"
@@ -107,7 +122,7 @@
     one.add_argument("--scenario", type=Path, required=True)
     one.add_argument("--seeds", type=seeds, default=list(range(1, 11)))
     one.add_argument("--workers", type=int, default=0)
-    one.add_argument("--json", type=Path, metavar="FILE")
+    one.add_argument("--json", type=new_file, metavar="FILE")
 
     one = verb("engines", "the same scenarios on both engines, side by side", "engines --seed 1")
     one.add_argument(
@@ -117,7 +132,7 @@
 
     one = verb("plot", "draw a result", "plot out.json out.svg")
     one.add_argument("result", type=Path)
-    one.add_argument("picture", type=Path)
+    one.add_argument("picture", type=picture)
 
     one = verb("hunt", "draw scenarios, find the worst, shrink it", "hunt --draws 40 --seed 1 --out found")
     one.add_argument("--draws", type=int, default=20)
@@ -131,14 +146,14 @@
     one.add_argument("--seconds", type=float, default=10.0)
     one.add_argument("--wait-ms", type=int, default=1200)
     one.add_argument("--against", type=checkout, metavar="DIR", help="another checkout's balancer")
-    one.add_argument("--json", type=Path, metavar="FILE")
+    one.add_argument("--json", type=new_file, metavar="FILE")
 
     one = verb("perf", "what the balancer itself costs", "perf --json perf.json")
     one.add_argument(
         "--against", type=checkout, metavar="DIR", help="beside another checkout, in the same run"
     )
     one.add_argument("--quick", action="store_true", help="shorter, for a first look")
-    one.add_argument("--json", type=Path, metavar="FILE")
+    one.add_argument("--json", type=new_file, metavar="FILE")
     return parser
 
 
--- a/tests/lab/test_hunt.py
+++ b/tests/lab/test_hunt.py
@@ -63,3 +63,7 @@
     (tmp_path / "none.json").write_text('{"a": 1}')
     assert main(["plot", str(tmp_path / "none.json"), str(picture)]) == 2
     assert len(capsys.readouterr().err.strip().splitlines()) == 1
+    for wrong in (["--json", str(tmp_path / "no" / "x.json")], ["--plot", "x.txt"], ["--seed", "x"]):
+        with pytest.raises(SystemExit) as ended:
+            main(["run", "lab/scenarios/calm.toml", *wrong])
+        assert ended.value.code == 2
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -109,3 +109,11 @@
     )
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
+
+
+def test_drains_told_while_first_lines_are_under_way_are_kept() -> None:
+    far = {"within_ms": 120.0, "between_ms": 120.0}
+    rolling = [trouble("rolling", 1.0, stride_s=2.5, drain_s=3.0, down_s=1.0)]
+    found = play_one(Job(small("cold", network=far, troubles=rolling), 1))
+    assert not found["broken"]
+    assert found["counts"]["attempt.not_sent"] > 0 and found["counts"]["attempt.full"] > 0
