--- a/switchhub/lab/storm.py
+++ b/switchhub/lab/storm.py
@@ -86,8 +86,12 @@
             found += json.loads(out)
         await asyncio.sleep(SETTLE)
         after = await setups(stand.through, names, 20, 1.0)
+        sent = [each[0] for each in found if each[0]]
+        sorted_out = sort_out(found, wait_ms / 1000)
+        span = max(max(sent) - min(sent), wait_ms / 1000)
         return {
-            **sort_out(found, wait_ms / 1000),
+            **sorted_out,
+            "served_per_s": round(sorted_out["served"] / span),
             "calm_rate": round(calm),
             "rate_after": round(after),
         }
--- a/switchhub/lab/storm_clients.py
+++ b/switchhub/lab/storm_clients.py
@@ -1,12 +1,11 @@
 """Run as `python -m switchhub.lab.storm_clients`: many clients at one balancer, as fast as one process
 connects.
 
-Owns: its sockets. Must never: judge; it writes down when each client's last byte went and what came back
-when.
+Owns: its sockets. Must never: judge; it writes down when each client's last byte went and what came when.
 
 Arguments: HOST PORT SOURCE COUNT WAIT_MS START RATE FIRST. Connections begin at START (CLOCK_MONOTONIC),
-all at once if RATE is 0, else as a Poisson process of that rate. Prints a JSON list of [sent, answered or
-null, word].
+all at once if RATE is 0, else as a Poisson process of that rate, each ended once it is answered. Prints a
+JSON list of [sent, answered or null, word, whether its bytes had to be sent again].
 """
 
 from __future__ import annotations
@@ -31,15 +30,23 @@
 class Client:
     """One connection."""
 
-    __slots__ = ("answered", "name", "sent", "sock", "word")
+    __slots__ = ("answered", "dropped", "name", "sent", "sock", "word")
 
     def __init__(self, sock: socket.socket, name: str) -> None:
         self.sock, self.name = sock, name
         self.sent = self.answered = 0.0
         self.word = ""
+        self.dropped = False
 
+    def close(self) -> None:
+        """End it with a reset; whether its bytes had to be sent again is asked before."""
+        if self.sock.fileno() >= 0:
+            self.dropped = _dropped(self)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            self.sock.close()
 
-def _read(client: Client, watch: selectors.BaseSelector) -> None:
+
+def _read(client: Client, watch: selectors.BaseSelector, stays: bool) -> None:
     try:
         data = client.sock.recv(256)
     except BlockingIOError:
@@ -50,6 +57,9 @@
         return
     if data and not client.word:
         client.answered, client.word = time.monotonic(), data.split()[0].decode(errors="replace")
+        if not stays:
+            watch.unregister(client.sock)
+            client.close()
     elif not data:
         client.word = client.word or "ended"
         watch.unregister(client.sock)
@@ -107,15 +117,14 @@
                 client.sent = last = time.monotonic()
                 watch.modify(client.sock, selectors.EVENT_READ, client)
             else:
-                _read(client, watch)
+                _read(client, watch, not every)
         if pending and now > last + 10 and len(clients) == total:
             break  # what the accept queue has turned away
     found = []
     for client in clients:
         word = client.word or ("unconnected" if not client.sent else "nothing")
-        found.append([client.sent, client.answered or None, word, _dropped(client)])
-        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
-        client.sock.close()
+        client.close()
+        found.append([client.sent, client.answered or None, word, client.dropped])
     print(json.dumps(found))
 
 
