--- a/switchhub/admission/gate.py
+++ b/switchhub/admission/gate.py
@@ -20,7 +20,6 @@
 MEMORY, QUICK = 1 / 32, 1 / 8  # weight of the newest measure; of work, which a storm changes in a few turns
 COST_MAX = 20.0  # a turn that took longer per set-up was held up by something else
 SLOWEST = 250.0  # set-ups that took longer waited for their server
-PART = 0.8  # of a client's time that may be planned with: the pace is an estimate
 CARE, SPARE = 1.5, 30.0  # times that a set-up may take its usual time, and what is left over besides
 
 
@@ -57,8 +56,8 @@
         return Verdict.REFUSE if self.hopeless(age, wait) else Verdict.WAIT
 
     def hopeless(self, age: float, wait: float) -> bool:
-        """Whether its turn would come too late, or so late that a small error would make it so."""
-        return not self._in_time(age + (self.waiting + 1) * self.cost, wait * PART)
+        """Whether its turn would come too late."""
+        return not self._in_time(age + (self.waiting + 1) * self.cost, wait)
 
     def latest(self, arrived: float, wait: float) -> float:
         """When a set-up must start at the latest to be in time; past that it is to be refused at once."""
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -31,7 +31,6 @@
 AT_ONCE, AT_NEED = 64, 256  # connections taken in before those that stand have their turn; while it is behind
 TICK = 0.02  # seconds between two looks at the module's chores
 CHECK = 0.1  # seconds between two looks at silent connections
-LOOK_AGAIN, UNREAD_MAX = 0.003, 0.02  # seconds between two looks for a first line, and until a session waits
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
 LINGER = 0.45  # seconds after a stop's start in which new connections still come: the moved would come back
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
@@ -81,9 +80,6 @@
         self._turns: deque[asyncio.Future[bool]] = deque()  # requests that wait for their turn, in order
         self._latest: list[tuple[float, int, asyncio.Future[bool]]] = []  # the same, by when they must start
         self._count = 0
-        self._unread: deque[tuple[Wire, float]] = (
-            deque()
-        )  # accepted while behind, the first line not yet here
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -165,32 +161,15 @@
     def _take_in(self, sock: socket.socket) -> None:
         self.counters.add("accepted")
         wire = self.sockets.of_client(sock)
-        if self.gate.waiting and not wire.fill_now():
-            self._unread.append((wire, self.loop.time()))  # its line is under way; a session would cost more
-            if len(self._unread) == 1:
-                self.loop.call_later(LOOK_AGAIN, self._look_again)
-        elif not self._refused_at_once(wire):
+        if not self._refused_at_once(wire):
             self._start(Session(self, wire).run())
 
-    def _look_again(self) -> None:
-        """At those whose first line had not come when they were accepted; not for long."""
-        now, unread = self.loop.time(), self._unread
-        self._unread = deque()
-        for wire, since in unread:
-            if not wire.fill_now() and now - since < UNREAD_MAX and self.gate.waiting:
-                self._unread.append((wire, since))
-            elif not self._refused_at_once(wire):
-                self._start(Session(self, wire).run())
-        if self._unread:
-            self.loop.call_later(LOOK_AGAIN, self._look_again)
-
     def _refused_at_once(self, wire: Wire) -> bool:
         """Refuse, without a session, a request that is here whole and can't be in time.
 
         Danger: a session costs as much as ten refusals, and makes those late that could be served. Whatever
         else is the matter with a request, its session finds."""
-        wire.fill_now()
-        if (line := wire.line()) is None or len(line) != len(wire.rest()):
+        if not wire.fill_now() or (line := wire.line()) is None or len(line) != len(wire.rest()):
             return False
         now = self.clock()
         age, trip = wire.ages()
@@ -323,9 +302,6 @@
                     session.move()
                 credit -= int(credit)
             await asyncio.sleep(TICK)
-        for wire, _ in self._unread:  # they have sent nothing
-            wire.close()
-        self._unread.clear()
         for _, _, turn in self._latest:
             if not turn.done():
                 turn.set_result(False)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from switchhub.admission.gate import CARE, PART, PER_TURN, PROMPT, SPARE, TURN, Gate, Verdict
+from switchhub.admission.gate import CARE, PER_TURN, PROMPT, SPARE, TURN, Gate, Verdict
 from switchhub.decision.facade import Facade, Refused, Roster
 from switchhub.decision.interface import Request, RosterKind
 from switchhub.net.lines import Sockets, Wire
@@ -30,7 +30,7 @@
 def test_what_would_come_up_too_late_is_refused_while_that_is_in_time() -> None:
     gate = Gate()
     gate.waiting = 100
-    need = (101 * gate.cost + CARE * gate.spent + SPARE) / PART + 0.001
+    need = 101 * gate.cost + CARE * gate.spent + SPARE
     assert gate.verdict(0.0, 0.0, need) is Verdict.WAIT
     assert gate.verdict(0.0, 1.0, need) is Verdict.REFUSE
     assert gate.verdict(0.0, 0.0, 60_000.0) is Verdict.WAIT, "a patient client waits on"
