--- a/switchhub/lab/population.py
+++ b/switchhub/lab/population.py
@@ -13,8 +13,6 @@
 from switchhub.lab.scenario import Scenario
 from switchhub.lab.timeline import Timeline
 
-COUNTS_FROM = 0.0
-
 
 class Client:
     """One client's session: it wants a connection from `at` to `until`, and a message each so often."""
--- a/switchhub/lab/timeline.py
+++ b/switchhub/lab/timeline.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from switchhub.lab.scenario import SERVER_TROUBLES, Scenario, Trouble, matching, targets
+from switchhub.lab.scenario import Scenario, Trouble, matching, targets
 
 FOREVER = 1e9
 
@@ -163,4 +163,4 @@
     return met
 
 
-__all__ = ["FOREVER", "SERVER_TROUBLES", "Change", "Heard", "Interval", "Timeline", "dead_spans", "expand"]
+__all__ = ["FOREVER", "Change", "Heard", "Interval", "Timeline", "dead_spans", "expand"]
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -167,7 +167,7 @@
     def _refused_at_once(self, wire: Wire) -> bool:
         """Refuse, without a session, a request that is here whole and can't be in time.
 
-        Danger: a session costs as much as ten refusals, and makes those late that could be served. Whatever
+        Danger: a session costs several times a refusal, and makes those late that could be served. Whatever
         else is the matter with a request, its session finds."""
         if not wire.fill_now() or (line := wire.line()) is None or len(line) != len(wire.rest()):
             return False
