Calls to discovery back off by doubling, and the first call is the watch from the known version

Cause: discovery works through calls in turn, about 8 a second, and goes on with those it has turned away after 2 s. Each balancer asked for the whole list and then for the watch, and repeated a failed call after 80 to 160 ms at first and every 1.25 to 2.5 s at last (brain._on_roster_failed). 40 of them ask for some 10 a second, more than it can do, so the queue stayed full of calls that were given up already: between 0.1 s and 10 s not one call was served. Ruled out: the start-up (ready in 0.3 s), the CPU (0.25 of a core at most), time-outs of our own alone (1.5 s against 5 s: 537 and 537 failed), the first whole list alone (347 of 378 failed without it). Change: a failed call is repeated after 0.3 to 1.5 s, by lot, and each further failure doubles that up to three times the time after which an unasked list counts as told; the first call is the watch from the version that came with the configuration; a call is waited for until discovery itself gives it up. Tests: a queue of that kind drains for 3 to 80 balancers; they fail with the former wait.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -36,7 +36,7 @@
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
-ROSTER_TIMER = 1  # the token of the only timer there is: ask for the roster again
+ROSTER_TIMER, ASK_AGAIN = 1, 1500.0  # the only timer's token: ask for the roster again, so late at first
 MOVE_PACE = 0.07  # part of its connections that a balancer moves in a second at most
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
@@ -476,13 +476,14 @@
             self._out.append(Move(conn.request.id))
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
-        """Danger: a list unasked for too long counts as told. Ask again well before that, not in step."""
+        """Danger: discovery is one queue for all; calls given up still fill it, and repeated at once none is
+        served again. Each failure doubles the wait, by lot, and stays under what counts as told."""
         self._asks_failed += 1
         if self._watching or self._asks_failed == 1:
             self._out.append(Note("roster lost, asking again"))
         self._watching = False
-        wait = self._settings.ask_within / 4 / 2 ** max(0, 5 - self._asks_failed)
-        self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.5, 1.0)))
+        wait = min(ASK_AGAIN * 2 ** min(self._asks_failed - 1, 9), 3 * self._settings.ask_within)
+        self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.2, 1.0)))
 
     def _on_load(self, event: LoadTold) -> None:
         """Danger: a hint is rough and usual; where the present load is told, that counts in its place."""
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -4,8 +4,10 @@
 address while connections may need it, wait between an answer and the next watch, or decide when to call again
 after a failure: the module asks for that.
 
-Versions are one discovery's own. The first call to each asks for the whole list, at the start and after a
-move to another address.
+Versions are one discovery's own. The first call after a move to another address asks for the whole list; at
+the start the list as known, and its version, came with the configuration, so the first call is the watch.
+Danger: discovery is one queue for all balancers. After most of them were killed, a whole list and then a
+watch from each is twice the work, and a call that its caller gives up is still worked through in its turn.
 """
 
 from __future__ import annotations
@@ -25,7 +27,9 @@
 from switchhub.net.counters import Counters
 
 WAIT_MS = 10_000  # how long a watch may wait for news
-ANSWER_WITHIN = 1.5  # seconds past that wait after which discovery counts as silent
+ANSWER_WITHIN = (
+    2.4  # seconds past that wait after which discovery counts as silent; it gives up by itself at 2
+)
 CONNECT_WITHIN = 1.0
 ANSWER_MAX = 8 << 20
 
@@ -62,7 +66,7 @@
         self._watch: asyncio.Task[None] | None = None
         self._moved = False
         self._sock: socket.socket | None = None
-        self._version: int | None = None  # none yet of the discovery that is asked now
+        self._version: int | None = config.known.version  # none yet of a discovery that was moved to
         self._addresses: dict[str, Address] = {}
         self._ready: set[str] = set()
         self._apply(config.known, RosterKind.REMEMBERED)
@@ -132,7 +136,17 @@
         self._facade.report(self._clock(), Roster(kind, tuple(entry.server for entry in listing.entries)))
 
     async def _call(self) -> Listing:
+        """One call; how long it took and how it ended is what tells a herd."""
         self._counters.add("discovery.calls")
+        begun, version, end = self._clock(), self._version, "failed"
+        try:
+            listing = await self._ask()
+            end = f"whole {listing.version}" if listing.full else f"changes {listing.version}"
+            return listing
+        finally:
+            logger.debug("discovery: call from {} {} after {:.0f} ms", version, end, self._clock() - begun)
+
+    async def _ask(self) -> Listing:
         if self._sock is None:
             self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._sock.setblocking(False)
--- /dev/null
+++ b/tests/test_herd.py
@@ -0,0 +1,106 @@
+"""What many balancers do to what they share: one queue that also works through calls given up."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+
+from switchhub.decision.brain import Balancer
+from switchhub.decision.interface import (
+    RosterChanged,
+    RosterFailed,
+    RosterKind,
+    SetTimer,
+    TimerFired,
+    WatchRoster,
+)
+from tests.rig import Server, running
+from tests.world import make_settings, server
+
+WORK, PATIENCE, BOUND = 125.0, 2000.0, 24  # milliseconds a call takes, a caller waits; calls that may wait
+
+
+def subscribe(starts: list[float], until: float) -> tuple[list[float], int]:
+    """Balancers that call from these times on: when each was served first, and how many calls failed.
+
+    Calls wait in one queue; one that has waited too long fails, but is worked through in its turn."""
+    balancers = [Balancer(make_settings(fleet_size=len(starts)), seed) for seed in range(len(starts))]
+    served: list[float] = []
+    failed, free, waiting, order = 0, 0.0, 0, iter(range(10**9))
+    events: list[tuple[float, int, str, int]] = [
+        (at, next(order), "call", number) for number, at in enumerate(starts)
+    ]
+    heapq.heapify(events)
+    while events:
+        now, _, what, number = heapq.heappop(events)
+        if now > until:
+            break
+        if what == "done":
+            waiting -= 1
+        elif what == "call" and waiting < BOUND:
+            waiting += 1
+            free = max(free, now) + WORK
+            heapq.heappush(events, (free, next(order), "done", number))
+            late = free - now > PATIENCE
+            heapq.heappush(
+                events, (now + PATIENCE if late else free, next(order), "fail" if late else "list", number)
+            )
+        elif what == "list":
+            served.append(now)
+            balancers[number].handle(now, RosterChanged(RosterKind.WHOLE, (server("a"),)))
+        else:
+            failed += 1
+            for action in balancers[number].handle(now, RosterFailed()):
+                if isinstance(action, SetTimer):
+                    fires = now + action.delay
+                    heapq.heappush(events, (fires, next(order), "call", number))
+                    assert any(
+                        isinstance(each, WatchRoster)
+                        for each in balancers[number].handle(fires, TimerFired(action.token))
+                    )
+    return served, failed
+
+
+def fleets() -> Iterator[list[float]]:
+    rng = Random(7)
+    for count in (3, 10, 28, 40, 80):
+        yield [rng.uniform(0.0, 1000.0) for _ in range(count)]
+
+
+def test_a_herd_of_calls_thins_out_until_all_are_served() -> None:
+    """Danger: calls repeated every two seconds keep the queue full of calls given up: nobody is served."""
+    for starts in fleets():
+        served, failed = subscribe(starts, 60_000.0)
+        assert len(served) == len(starts)
+        assert max(served) < 1000.0 + PATIENCE + 4 * WORK * len(
+            starts
+        )  # four times what the work itself takes
+        assert failed < 4 * len(starts)
+
+
+def test_a_single_failed_call_is_repeated_soon() -> None:
+    for seed in range(20):
+        (timer,) = [
+            each
+            for each in Balancer(make_settings(), seed).handle(0.0, RosterFailed())
+            if isinstance(each, SetTimer)
+        ]
+        assert 250.0 <= timer.delay <= 1500.0
+
+
+def test_the_first_call_is_the_watch_from_the_version_known(tmp_path: Path) -> None:
+    """Danger: a whole list, then a watch, from every balancer that was killed: twice the calls."""
+
+    async def play() -> None:
+        servers = [Server("a"), Server("b")]
+        async with running(tmp_path, *servers) as (program, discovery):
+            await program.up()
+            await discovery.change("b", "Terminating")
+            await program.logged("server b draining")
+            assert discovery.asked[0].startswith("index=1&wait=")
+            assert not any(query == "" for query in discovery.asked)
+
+    asyncio.run(play())
