Cold servers take up to the share of a warm peer of their kind that they can do at least

Ruled out: discovery (the lists had come), the set-up cost (75 a second over the fleet at worst), health. Lines at fault: brain._fits_cold let a cold server's sum rise from nothing (age / warm-up), though it has the cold share of its power from its first moment, and used half of the budget of rule 4; measured by all warm servers alike, since of two kinds one is twice as fast, it could not use more. Change: the sum may rise to the share that it can do at least, the budget is used whole, and both are measured by what warm peers of its own kind hold.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -32,7 +32,7 @@
 GATHER = 4.0  # a group starts at the common server if that holds so many mean hints over the least at most
 MARKS, SPREAD = 2**64 - 1, 0x9E3779B97F4A7C15  # marks are of 64 bits; an odd factor orders them anew
 OWN_PART = 2.0  # connections of a group held here, on average, over which a balancer starts it where it likes
-COLD_CARE = 0.5  # part of the cold budget used: peers may be overloaded, or twice as fast
+COLD_CARE = 1.0  # part of the cold budget used; it counts from what peers carry, which is less than they can
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
@@ -255,8 +255,8 @@
                 nodes = [node for node in nodes if node.server.cell == where.cell]
         if self._cold:  # rule 4
             self._cold = [node for node in self._cold if self._cold_age(node) is not None]
-            peer = self._warm_peer()
-            barred = [node for node in self._cold if not self._fits_cold(node, conn, peer)]
+            warm = [node for node in self._ready if node not in self._cold]
+            barred = [each for each in self._cold if not self._fits_cold(each, conn, self._peer(each, warm))]
             nodes = [node for node in nodes if node not in barred]
         return nodes
 
@@ -428,20 +428,24 @@
         age = self._now - node.server.born
         return max(age, 0.0) if node.server.born and age < self._settings.cold_time else None
 
-    def _warm_peer(self) -> float:
-        """What a warm peer carries for this balancer on average: our part of what a cold one will do."""
-        warm = [node.total for node in self._ready if node not in self._cold]
-        return sum(warm) / len(warm) if warm else self._mean_hint
+    def _peer(self, node: _Node, warm: list[_Node]) -> float:
+        """What a warm peer carries for this balancer on average: our part of what a cold one will do.
+
+        Danger: of two kinds one is twice as fast, and what the fast carry pushes a slow one over."""
+        sums = [each.total for each in warm if each.server.kind == node.server.kind]
+        sums = sums or [each.total for each in warm]
+        return sum(sums) / len(sums) if sums else self._mean_hint
 
     def _fits_cold(self, node: _Node, conn: _Conn, peer: float) -> bool:
-        """Danger: all balancers see its empty sum and push it over together, each of them in the right."""
+        """Danger: all balancers see its empty sum and push it over together, each of them in the right. And
+        used for less than it can do, it leaves a fleet of which most is new to the few that are warm."""
         settings, sent, push = self._settings, node.sent, self._push(conn)
         ramp = (self._cold_age(node) or 0.0) / settings.cold_time
-        if node.total + conn.load > peer * ramp + node.luck * conn.load:
+        share = settings.cold_share + (1 - settings.cold_share) * ramp  # of its power: the least it has now
+        if node.total + conn.load > peer * share + node.luck * conn.load:
             return False
         while sent and sent[0][0] <= self._now - settings.fall_time:
             sent.popleft()
-        share = settings.cold_share + (1 - settings.cold_share) * ramp
         budget = COLD_CARE * settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
         return sum([each for _, each in sent]) + push <= budget + node.luck * push
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -83,6 +83,47 @@
     assert 0 < sent <= allowed
 
 
+def test_a_fleet_of_which_most_is_new_uses_what_the_new_can_do_and_pushes_none_over() -> None:
+    """Danger: filled from nothing on, six new servers of ten leave everybody to the four that are warm."""
+    warm, new = [f"w{number}" for number in range(4)], [f"n{number}" for number in range(6)]
+    sent: dict[str, int] = dict.fromkeys(new, 0)
+    for seed in range(40):
+        world = World(make_settings(fleet_size=40, zone=9), seed=seed, now=9000.0)
+        world.roster(*(server(name) for name in warm), *(server(name, born=world.now) for name in new))
+        for number in range(4):
+            world.adopt(warm[(seed + number) % 4])
+        for _ in range(8):
+            world.wait(250.0)
+            world.ask()
+            for action in world.did(Attempt):
+                if action.server in sent:
+                    sent[action.server] += 1
+    peer = 40 + 40 * 8 / 4  # connections that a warm server may come to hold
+    allowed = 2.5 * 0.3 * peer * 2000.0 / 8000.0  # multiple x capacity at the start x window / warm-up
+    assert max(sent.values()) <= 1.3 * allowed  # by lot, and its power grows while the window lasts
+    assert sum(sent.values()) >= 6 * 18  # half of that when they were filled from nothing on
+
+
+def test_a_new_server_is_measured_by_warm_ones_of_its_kind() -> None:
+    """Danger: of two kinds one is twice as fast, and what the fast ones carry pushes a slow one over."""
+    sent = {0: 0, 1: 0}
+    for seed in range(40):
+        world = World(make_settings(fleet_size=40, zone=9), seed=seed, now=9000.0)
+        slow = [server("s0"), server("s1"), server("new", born=world.now - 2000.0)]
+        fast = [server(name)._replace(kind=1) for name in ("f0", "f1")]
+        world.roster(*slow, *fast, server("fresh", born=world.now - 2000.0)._replace(kind=1))
+        for name, held in (("s0", 2), ("s1", 2), ("f0", 9), ("f1", 9)):
+            for _ in range(held):
+                world.adopt(name)
+        for _ in range(4):
+            world.wait(100.0)
+            world.ask()
+            for action in world.did(Attempt):
+                sent[0] += action.server == "new"
+                sent[1] += action.server == "fresh"
+    assert 0 < 2 * sent[0] < sent[1]
+
+
 @pytest.mark.parametrize("result", [Result.RESET, Result.CANCELLED])
 def test_a_reset_makes_the_rest_the_limit_only_where_strain_is_told(result: Result) -> None:
     world = World(make_settings(zone=9))
