--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -23,7 +23,7 @@
 
 from switchhub.decision.facade import Facade, Roster, RosterLost
 from switchhub.decision.interface import RosterKind, State
-from switchhub.net.config import Address, Config, Listing, parse_listing
+from switchhub.net.config import Address, Config, ConfigError, Entry, Listing, parse_listing
 from switchhub.net.counters import Counters
 
 WAIT_MS = 10_000  # how long a watch may wait for news
@@ -38,6 +38,32 @@
     """A call failed."""
 
 
+class ListingError(DiscoveryError):
+    """An answer that can't be whole or true; `leaving` are the servers that it says drain or are gone."""
+
+    def __init__(self, reason: str, leaving: tuple[Entry, ...] = ()) -> None:
+        super().__init__(reason)
+        self.leaving = leaving
+
+
+def checked(listing: Listing, version: int | None) -> Listing:
+    """The answer to a call from this version, or `ListingError`.
+
+    Danger: discovery in a herd answers with what it has. A whole list of nobody would end all service, an
+    older version would bring back servers that have gone, and of two entries for one server either may be
+    true. Rule 3 holds all the same: whoever is said to drain or to be gone is sent nothing new."""
+    leaving = tuple(each for each in listing.entries if each.server.state is not State.READY)
+    if listing.full and not listing.entries:
+        raise ListingError("a whole list of nobody")
+    if version is not None and listing.version < version:
+        raise ListingError(f"version {listing.version} after {version}", leaving)
+    names = [each.server.id for each in listing.entries]
+    if len(set(names)) < len(names):
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ListingError(f"two entries for server {twice}", leaving)
+    return listing
+
+
 class _Answer:
     """Collects one HTTP answer."""
 
@@ -106,6 +132,8 @@
                 self._asked.clear()  # whatever discovery says or fails to say must not end the balancer
                 logger.warning("discovery: {}: {}", type(error).__name__, error)
                 self._counters.add("discovery.failed")
+                if isinstance(error, ListingError):
+                    self._refuse(error)
                 self._facade.report(self._clock(), RosterLost())
         finally:
             if self._watch is not None:
@@ -135,6 +163,14 @@
         self._counters.add("discovery.answers")
         self._facade.report(self._clock(), Roster(kind, tuple(entry.server for entry in listing.entries)))
 
+    def _refuse(self, error: ListingError) -> None:
+        """The last good list stays, less who leaves by the refused one; next, everything is asked for."""
+        self._counters.add("discovery.refused")
+        self._version = None
+        known = tuple(each for each in error.leaving if each.server.id in self._addresses)
+        if known:
+            self._apply(Listing(0, False, known), RosterKind.CHANGES)
+
     async def _call(self) -> Listing:
         """One call; how long it took and how it ended is what tells a herd."""
         self._counters.add("discovery.calls")
@@ -167,7 +203,11 @@
             data: Any = json.loads(body)
         except ValueError as error:
             raise DiscoveryError(f"not JSON: {error}") from None
-        return parse_listing(data, self._config.zones, self._config.kinds)
+        try:
+            listing = parse_listing(data, self._config.zones, self._config.kinds)
+        except ConfigError as error:
+            raise DiscoveryError(str(error)) from None
+        return checked(listing, self._version)
 
     async def _answer(self, sock: socket.socket) -> tuple[int, bool, bytearray]:
         answer = _Answer()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -111,6 +111,7 @@
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
+        self.bodies: list[bytes] = []  # what the next calls are answered instead, as it is
         self.told = 0  # version that was written to somebody last
         self.asked: list[str] = []  # the calls' queries
 
@@ -161,6 +162,10 @@
                 if self.mute:
                     self.mute -= 1
                     continue
+                if self.bodies:
+                    writer.write(self.bodies.pop(0))
+                    await writer.drain()
+                    return writer.close()
                 if self.fails:
                     self.fails -= 1
                     writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,118 @@
+"""What discovery says is not always whole or true: the last good list stays, and it is asked again."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from switchhub.decision.interface import State
+from switchhub.net.config import Entry, Listing
+from switchhub.net.discovery import ListingError, checked
+from tests.rig import Server, running
+from tests.world import server
+
+Told = dict[str, Any]
+
+
+def http(body: bytes, length: int | None = None) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(body) if length is None else length,
+        body,
+    )
+
+
+def nobody(told: Told) -> bytes:
+    return http(json.dumps({**told, "version": 9, "servers": []}).encode())
+
+
+def goes_back(told: Told) -> bytes:
+    return http(json.dumps({**told, "version": 0}).encode())
+
+
+def unknown_state(told: Told) -> bytes:
+    return http(
+        json.dumps({**told, "version": 9, "servers": [{**told["servers"][0], "state": "Odd"}]}).encode()
+    )
+
+
+def twice(told: Told) -> bytes:
+    return http(json.dumps({**told, "version": 9, "servers": told["servers"] + told["servers"][:1]}).encode())
+
+
+def cut_short(told: Told) -> bytes:
+    body = json.dumps({**told, "version": 9}).encode()
+    return http(body[: len(body) // 2], len(body))
+
+
+def no_json(told: Told) -> bytes:
+    return http(json.dumps(told).encode()[:-1])
+
+
+def no_http(_told: Told) -> bytes:
+    return b"nothing that HTTP knows\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "says"),
+    [
+        (nobody, "a whole list of nobody"),
+        (goes_back, "version 0 after 1"),
+        (unknown_state, "not a list of servers: KeyError: 'Odd'"),
+        (twice, "two entries for server a"),
+        (cut_short, "the connection ended"),
+        (no_json, "not JSON"),
+        (no_http, "discovery: Http"),
+    ],
+)
+def test_a_bad_answer_leaves_the_last_good_list_in_force(
+    tmp_path: Path, answer: Callable[[Told], bytes], says: str
+) -> None:
+    async def play() -> None:
+        servers = [Server("a"), Server("b")]
+        async with running(tmp_path, *servers) as (program, discovery):
+            discovery.bodies.append(answer(discovery.listing()))
+            await discovery.change("a", "Ready")  # a watch that is out already ends with a good answer
+            await program.logged(says)
+            for _ in range(4):
+                await program.up()
+            assert servers[0].opened and servers[1].opened, "both are in use"
+            await discovery.change("b", "Terminating")
+            await program.logged("server b draining")  # asked again, and heard
+            assert sum("discovery: " in line and "call" not in line for line in program.log) == 1
+            assert await program.stop() == 0
+            assert "discovery.failed=1" in program.log[-1] or "'discovery.failed': 1" in program.log[-1]
+
+    asyncio.run(play())
+
+
+def entry(name: str, state: State = State.READY) -> Entry:
+    return Entry(server(name, state=state), ("127.0.0.1", 1))
+
+
+@pytest.mark.parametrize(
+    ("listing", "version"),
+    [
+        (Listing(7, False, (entry("a", State.DRAINING), entry("b"))), 8),
+        (Listing(9, True, (entry("a"), entry("b"), entry("a", State.DRAINING))), 8),
+    ],
+)
+def test_a_refused_answer_still_names_who_leaves(listing: Listing, version: int | None) -> None:
+    """Danger: rule 3 asks for what was written to us, whatever else is wrong with it."""
+    with pytest.raises(ListingError) as caught:
+        checked(listing, version)
+    assert [each.server.id for each in caught.value.leaving] == ["a"]
+
+
+def test_whole_lists_and_changes_that_can_be_true_are_taken() -> None:
+    for listing, version in (
+        (Listing(3, True, (entry("a"),)), None),
+        (Listing(3, True, (entry("a", State.DRAINING),)), 2),
+        (Listing(3, False, ()), 3),
+        (Listing(4, False, (entry("a", State.GONE),)), 3),
+    ):
+        assert checked(listing, version) is listing
