Only balancers with a connection a server or less move at the price's pace

Line at fault: brain._relieve let a balancer with a hundred connections move 15 of them a second; 7% was right there. Change: the price's pace counts for one connection a server at most; all else keeps 7% a second. On the grown fleet a balancer holds less than a connection a server, and the pace stays as measured before.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -37,7 +37,7 @@
 LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
 ROSTER_TIMER, ASK_AGAIN = 1, 1500.0  # the only timer's token: ask for the roster again, so late at first
-MOVE_SPEND, MOVE_PACE = 0.0015, 0.5  # what moves may cost a second, by their price; the most that go
+MOVE_PACE, MOVE_SPEND = 0.07, 0.0015  # part of its connections moved in a second; what thin ones spend
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
 
 
@@ -393,10 +393,10 @@
         return node.limit if calm <= 0 else node.limit + calm * rate
 
     def _relieve(self, node: _Node) -> None:
-        """Danger: a strained server stays so while its connections last. Move off what is over its limit. Too
-        slowly it serves nobody, too fast the moves cost more than they save: their price sets the pace."""
-        pace = MOVE_SPEND / max(self._settings.move_price, MOVE_SPEND / MOVE_PACE)
-        rate = pace * len(self._conns)  # connections a second, whatever tells of strain
+        """Danger: a strained server stays so while its connections last. Move off what is over its limit.
+        With one a server or less, that part of them is too few to help: the price of moves sets the pace."""
+        held, thin = len(self._conns), min(len(self._conns), len(self._ready))  # thin: one a server at most
+        rate = max(MOVE_PACE * held, MOVE_SPEND / max(self._settings.move_price, MOVE_SPEND) * thin)
         strained = sum([self._fresh(each) for each in self._ready])  # a stalled one holds them for nothing
         price = 0.0 if not node.limit and 2 * strained <= len(self._ready) < len(self._conns) else 1.0
         self._move_credit = min(self._move_credit + rate * (self._now - self._move_at) / 1000, max(rate, 1.0))
