--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -54,7 +54,11 @@
         print(f"switchhub: {error}", file=sys.stderr)
         return 2
     gc.freeze()
-    uvloop.run(serve(config))
+    try:
+        uvloop.run(serve(config))
+    except ConfigError as error:  # an address that can't be had
+        print(f"switchhub: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -129,6 +129,12 @@
         """The design's sum of each known server, for tests and for whoever looks in."""
         return {node.id: node.total for node in self._nodes.values()}
 
+    def targets(self, now: float) -> tuple[int, int]:
+        """How many servers are listed, and how many of them get nothing new: they drain or are set aside."""
+        listed = [node for node in self._nodes.values() if node.server.state is not State.GONE]
+        return len(listed), sum(node.server.state is not State.READY
+                                or (node.fails >= DOUBT and node.aside_until > now) for node in listed)
+
     # Requests and the connections that they become.
 
     def _on_request(self, event: RequestArrived) -> None:
--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -180,6 +180,10 @@
         chores, self._chores = self._chores, Chores([], False, [])
         return chores
 
+    def targets(self, now: float) -> tuple[int, int]:
+        """How many servers are listed, and how many of them get nothing new at present."""
+        return self._balancer.targets(now)
+
     def _worth_telling(self, now: float, server: str, delay: float) -> bool:
         """As the wire tells it: once a second while long, and once more when it no longer is."""
         told = self._told.get(server)
--- /dev/null
+++ b/switchhub/lifecycle/phase.py
@@ -0,0 +1,78 @@
+"""What this process is now: starting, ready, draining, stopping or giving way to a new version.
+
+Owns: that one fact. Must never: do I/O, read a clock, or be kept a second time somewhere else: `PING`, the
+health check, the listener and the stop ask here.
+
+    starting -> ready <-> draining         by `begin`, `drain`, `restore`
+    any of these -> giving way -> stopping by `yield_to`, `stop`; nothing leads back from stopping
+
+Giving way is taken back by `restore` when the new process turns out to be gone before this one was told to
+stop. A process that gives way says yes to `PING`, for the clients' address is the new process's by then and a
+no would close it; its own health check says no.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Phase(Enum):
+    """What a process is."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    GIVING_WAY = "giving way to a new version"
+    STOPPING = "stopping"
+
+
+class Lifecycle:
+    """The state machine."""
+
+    def __init__(self) -> None:
+        self.phase = Phase.STARTING
+        self._begun = False
+
+    @property
+    def healthy(self) -> bool:
+        """Whether this process is ready to serve."""
+        return self.phase is Phase.READY
+
+    @property
+    def answers_ping(self) -> bool:
+        """Whether the address may be sent new clients."""
+        return self.phase in (Phase.READY, Phase.GIVING_WAY)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether nothing leads back."""
+        return self.phase is Phase.STOPPING
+
+    def begin(self) -> None:
+        """It serves from now on, unless it was told to drain before."""
+        self._begun = True
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.READY
+
+    def drain(self) -> bool:
+        """Told to drain; whether that is new."""
+        if self.phase not in (Phase.STARTING, Phase.READY):
+            return False
+        self.phase = Phase.DRAINING
+        return True
+
+    def restore(self) -> bool:
+        """Told to go back to work; whether it can: not while it stops."""
+        if self.phase is Phase.STOPPING:
+            return False
+        self.phase = Phase.READY if self._begun else Phase.STARTING
+        return True
+
+    def yield_to(self) -> None:
+        """A new process serves the address now."""
+        if self.phase is not Phase.STOPPING:
+            self.phase = Phase.GIVING_WAY
+
+    def stop(self) -> None:
+        """It ends."""
+        self.phase = Phase.STOPPING
--- /dev/null
+++ b/switchhub/management/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the operators' staff, and the figures they read."""
--- a/switchhub/net/config.py
+++ b/switchhub/net/config.py
@@ -56,6 +56,7 @@
     tells_load: bool
     tells_delay: bool
     known: Listing
+    management: Address | None = None  # where the operators' staff call; nothing is opened without it
 
 
 def flatten(value: Any, path: str = "") -> dict[str, str]:
@@ -161,6 +162,22 @@
     }
 
 
+def _management(environ: Mapping[str, str], data: Any, listen: Address) -> Address | None:
+    """The variable wins: it is this start's alone, while an old and a new process may share the file."""
+    variable = environ.get("BALANCER_MANAGEMENT", "")
+    value = variable or data.get("management")
+    if value is None:
+        return None
+    where = "BALANCER_MANAGEMENT" if variable else "management"
+    try:
+        address = parse_address(value)
+    except (ConfigError, AttributeError):
+        raise ConfigError(f"{where}={value!r}: expected HOST:PORT") from None
+    if address == listen and address[1]:
+        raise ConfigError(f"{where}={value!r}: expected another address than listen")
+    return address
+
+
 def read_config(environ: Mapping[str, str]) -> Config:
     """Read the file that the environment names."""
     path = environ.get("BALANCER_CONFIG", "")
@@ -172,7 +189,7 @@
         zones, kinds = _names(told, "Localities"), _names(told, "Shapes")
         return Config(
             name=str(data["name"]),
-            listen=parse_address(data["listen"]),
+            listen=(listen := parse_address(data["listen"])),
             discovery=parse_address(data["discovery"]),
             seed=int(str(data["seed"]), 16),
             sockets=int(data["limits"]["sockets"]),
@@ -185,6 +202,8 @@
             tells_load=pairs.get("FamilyInfo.TellsLoad", "true") == "true",
             tells_delay=pairs.get("FamilyInfo.TellsDelay", "true") == "true",
             known=parse_listing(data["known"], zones, kinds),
+            management=_management(environ, data, listen),
         )
-    except (OSError, WireError, KeyError, TypeError, ValueError) as error:
-        raise ConfigError(f"BALANCER_CONFIG={path!r}: {type(error).__name__}: {error}") from None
+    except (AttributeError, OSError, WireError, KeyError, TypeError, ValueError) as error:
+        kind = "" if isinstance(error, ConfigError) else f"{type(error).__name__}: "
+        raise ConfigError(f"BALANCER_CONFIG={path!r}: {kind}{error}") from None
--- a/switchhub/net/counters.py
+++ b/switchhub/net/counters.py
@@ -13,11 +13,18 @@
 
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
+        self.answers: Counter[tuple[str, str]] = Counter()  # final answers by class and how it ended
 
     def add(self, name: str, much: int = 1) -> None:
         """Count it."""
         self._counts[name] += much
 
+    def answer(self, class_name: str, ended: str) -> None:
+        """A request of this class has got its final answer, or its connection: counted here and nowhere
+        else, once for each request."""
+        self._counts[f"answers.{ended}"] += 1
+        self.answers[class_name, ended] += 1
+
     def get(self, name: str) -> int:
         """The count so far."""
         return self._counts[name]
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -9,17 +9,20 @@
 
 import asyncio
 import heapq
+import math
 import os
 import socket
 import time
 from collections import deque
 from collections.abc import Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from switchhub.admission.gate import Gate
 from switchhub.decision.facade import Facade, Send
+from switchhub.lifecycle.pace import Pace
+from switchhub.lifecycle.phase import Lifecycle
 from switchhub.net.config import Config, ConfigError, read_config
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
@@ -27,6 +30,9 @@
 from switchhub.net.lines import LineError, Sockets, Wire, parse_head
 from switchhub.net.session import EARLY, FINISH_WITHIN, Session, final_answer, read_request
 
+if TYPE_CHECKING:
+    from switchhub.management.server import Management
+
 BACKLOG = 4096
 AT_ONCE, AT_NEED = 64, 256  # connections taken in before those that stand have their turn; while it is behind
 TICK = 0.02  # seconds between two looks at the module's chores
@@ -36,7 +42,12 @@
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
 MOVE_FROM, MOVE_TO = 0.5, 0.92  # parts of the time given between which everybody is moved, evenly
 IDS_KEPT = 2048  # ids of ended connections that are remembered
-FIXED = ("name", "listen", "sockets", "settings")  # what a reload leaves as it was at the start
+FIXED = ("name", "listen", "management", "sockets", "settings")  # what a reload leaves as it was at the start
+DRAIN_FROM, DRAIN_TO, DRAIN_MAX = (
+    0.3,
+    3.2,
+    3.7,
+)  # seconds after a drain was called: moves begin, are done, forced
 LAST_ANSWERS = 0.1  # seconds in which what is still open is answered at the very end
 
 
@@ -73,7 +84,17 @@
         self.facade = Facade(config.settings, config.seed, self.clock())
         self.discovery = Discovery(config, self.facade, self.counters, self.clock)
         self.health = Health()
-        self.sockets = Sockets(config.sockets)
+        self.lifecycle = Lifecycle()
+        self._pace: Pace | None = None  # of those that are given away now
+        self._forced = math.inf  # when nobody is waited for any more
+        self._management: Management | None = None
+        room = 0
+        if config.management is not None:  # not imported where it is not wanted
+            from switchhub.management import server
+
+            room = server.ROOM
+            self._management = server.Management(self, config.management)
+        self.sockets = Sockets(config.sockets - room)
         self.sessions: dict[str, Session] = {}
         self.ids = Ids()
         self.gate = Gate()
@@ -85,7 +106,11 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
-        self._sock.bind(config.listen)
+        try:
+            self._sock.bind(config.listen)
+        except (OSError, OverflowError) as error:
+            host, port = config.listen
+            raise ConfigError(f"listen={host}:{port}: expected an address that is free: {error}") from None
 
     def clock(self) -> float:
         """Unix time in milliseconds that never runs backward."""
@@ -93,8 +118,44 @@
 
     def stop(self) -> None:
         """Begin to stop."""
+        self.lifecycle.stop()
         self._stopping.set()
 
+    # What the operators' staff ask (`management.calls`).
+
+    def healthy(self) -> bool:
+        """Whether this process is ready to serve."""
+        return self.lifecycle.healthy
+
+    def condition(self) -> str:
+        """What it is, in a word or two."""
+        return self.lifecycle.phase.value
+
+    def figures(self) -> str:
+        """The figures, in the operators' form."""
+        from switchhub.management.figures import write  # imported with the calls
+
+        counters, targets = self.counters, self.facade.targets(self.clock())
+        dispatches = counters.get("dispatches")
+        return write(self.config.classes, counters.answers, dispatches, len(self.sessions), *targets)
+
+    def drain(self) -> None:
+        """Turn new clients away and move those that stand; a second call changes nothing."""
+        if self.lifecycle.drain():
+            now = self.loop.time()
+            self._pace, self._forced = Pace(now + DRAIN_FROM, now + DRAIN_TO), now + DRAIN_MAX
+            self.counters.add("drains")
+            logger.info("draining with {} sessions", len(self.sessions))
+
+    def restore(self) -> bool:
+        """Back to work, and no further moves; whether that can be."""
+        if not self.lifecycle.restore():
+            return False
+        if self._pace is not None:
+            self._pace, self._forced = None, math.inf
+            logger.info("back to work with {} sessions", len(self.sessions))
+        return True
+
     def reload(self) -> None:
         """Read the configuration again; one that does not serve changes nothing. No connection notices."""
         try:
@@ -116,9 +177,11 @@
         self._chores()
         self._sock.listen(BACKLOG)
         logger.info("{} listens on {}:{}", self.config.name, *self._sock.getsockname())
-        loops = [
-            asyncio.create_task(each) for each in (self._accept(), self._keep_house(), self.discovery.run())
-        ]
+        duties = [self._accept(), self._keep_house(), self.discovery.run()]
+        if self._management is not None:
+            duties.append(self._management.run())
+        self.lifecycle.begin()
+        loops = [asyncio.create_task(each) for each in duties]
         stopping = asyncio.create_task(self._stopping.wait())
         try:
             done, _ = await asyncio.wait((*loops, stopping), return_when=asyncio.FIRST_COMPLETED)
@@ -188,7 +251,7 @@
         pick = self.facade.pick(now, request._replace(late=True))
         assert not isinstance(pick, Send)
         name, answer = final_answer(pick)
-        self.counters.add(f"answers.{name}")
+        self.counters.answer(head.values["c"], name)
         if not wire.say(answer):
             self.counters.add("answers.undelivered")
         self.ids.end(request.id)
@@ -251,6 +314,7 @@
             await asyncio.sleep(TICK)
             try:
                 self._chores()
+                self._give_away()
                 if self.loop.time() - checked >= CHECK:
                     checked = self.loop.time()
                     self._check(self.clock())
@@ -285,22 +349,26 @@
         if chores.watch:
             self.discovery.ask()
 
+    def _give_away(self) -> None:
+        """Move those whose turn it is, while this process drains or stops."""
+        if self._pace is None:
+            return
+        now = self.loop.time()
+        standing = [session for session in self.sessions.values() if session.up]
+        for session in standing[: self._pace.due(now, len(standing))]:
+            session.move(at_once=now >= self._forced)
+
     async def _stop(self) -> None:
         """Go on answering while connections still come, move everybody, wait for what is owed."""
         logger.info("stopping with {} sessions", len(self.sessions))
         longest = max((each.deadline for each in self.config.settings.classes), default=0.0) / 1000
         given = min(longest, STOP_MAX) + STOP_SPARE
         starts = self.loop.time()
-        ends, moved = starts + given, starts + given * MOVE_TO
-        credit = 0.0  # moves that are due
-        linger = starts + max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
+        ends = starts + given
+        linger = max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
+        if self._pace is None:  # one that drains goes on as it does
+            self._pace = Pace(starts + linger, starts + given * MOVE_TO)
         while (now := self.loop.time()) < ends and (self.sessions or self._tasks or now < starts + LINGER):
-            if now >= linger:
-                standing = [session for session in self.sessions.values() if session.up]
-                credit += len(standing) / max(1.0, (moved - now) / TICK)
-                for session in standing[: int(credit)]:
-                    session.move()
-                credit -= int(credit)
             await asyncio.sleep(TICK)
         for _, _, turn in self._latest:
             if not turn.done():
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -47,7 +47,7 @@
 FAILED = b"FAILED\r\n"
 ERR = b"ERR\r\n"  # to what is no request
 MOVE = b"MOVE\r\n"
-PING, PONG = b"PING\r\n", b"PONG\r\n"
+PING, PONG, AWAY = b"PING\r\n", b"PONG\r\n", b"AWAY\r\n"  # whether new clients may be sent here
 
 
 class End(Enum):
@@ -104,7 +104,7 @@
         self._clock: Callable[[], float] = listener.clock
         self.client = client
         self.server: Wire | None = None
-        self.id = ""
+        self.id = self._class = ""
         self.place = ""  # the server of the present attempt
         self.up = False
         self.up_at = 0.0
@@ -135,7 +135,7 @@
             if not self._node.ids.take(request.id):
                 raise LineError("this id is taken")
             self.client.take(len(line))
-            self.id = request.id
+            self.id, self._class = request.id, head.values["c"]
             self._loads = LoadLines(request.hint or 0.0)
             self._node.sessions[request.id] = self
             self._counters.add("requests.taken")
@@ -162,8 +162,8 @@
         except Exception:
             logger.exception("a session broke")
             self._counters.add("errors")
-            if not self._stands.done():
-                self.client.say(FAILED)
+            if self.id and not self._stands.done():
+                self._answer("failed", FAILED)
         finally:
             if reader is not None:
                 reader.cancel()
@@ -190,7 +190,7 @@
                     pings += 1
                     self.client.take(len(line))
                     self._counters.add("pings")
-                    await self.client.send(PONG)
+                    await self.client.send(PONG if self._node.lifecycle.answers_ping else AWAY)
                 else:
                     self._heard = self._clock()
                     return line
@@ -256,7 +256,7 @@
             facade.report(self._clock(), Ended(request.id, elapsed, result, False))
 
     def _answer(self, kind: str, line: bytes) -> bool:
-        self._counters.add(f"answers.{kind}")
+        self._counters.answer(self._class, kind)
         if not self.client.say(line):
             self._counters.add("answers.undelivered")
         return False
@@ -293,6 +293,7 @@
                 await server.send_parts([head.before, str(left).encode() if head.after else b"", head.after])
         except (OSError, TimeoutError):
             return Result.UNREACHABLE
+        self._counters.add("dispatches")
         return await self._verdict(server, ends)
 
     async def _verdict(self, server: Wire, ends: float) -> Result:
@@ -363,13 +364,14 @@
             await wire.send_parts([head.before, str(left).encode() if head.after else b"", head.after])
         except (OSError, TimeoutError):
             return Result.UNREACHABLE
+        self._counters.add("dispatches")
         return await self._verdict(wire, ends)
 
     # The standing connection.
 
     async def _relay(self, request: Request) -> bool:
         """Pass lines on until one side ends; whether that was a reset."""
-        self._counters.add("answers.served")
+        self._counters.answer(self._class, "served")
         self.up, self.up_at = True, self._clock()
         self._stands.set_result(None)
         down = asyncio.create_task(self._from_server())
@@ -515,10 +517,14 @@
         if self._loads.load != known:
             facade.report(now, Load(self.id, self._loads.load))
 
-    def move(self) -> None:
-        """Tell the client to come again, between two lines, and end both sides."""
+    def move(self, at_once: bool = False) -> None:
+        """Tell the client to come again, between two lines, and end both sides.
+
+        Danger: a client that never reads would hold its connection past any drain; `at_once` waits not."""
         if not self.up or self._done.done():
             return
+        if at_once and self._sending:
+            return self._finish(End.MOVED)
         if self._sending:
             self._move_asked = True
         else:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -243,6 +243,23 @@
                         return line
                 await asyncio.sleep(0.01)
 
+    async def call(self, what: str) -> tuple[int, str]:
+        """A call of the staff: its status and text."""
+        port = int((await self.logged("management on")).rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"{what} HTTP/1.1\r\n\r\n".encode())
+        async with asyncio.timeout(WITHIN):
+            head, _, text = (await reader.read()).decode().partition("\r\n\r\n")
+        writer.close()
+        return int(head.split()[1]), text
+
+    async def figures(self) -> dict[str, int]:
+        """The figures of now."""
+        status, text = await self.call("GET /stats")
+        assert status == 200
+        lines = (line.removeprefix("balancer.").partition("|")[0] for line in text.splitlines())
+        return {name: int(value) for name, _, value in (line.partition(":") for line in lines)}
+
     async def reload(self, text: str) -> None:
         """Put this in the configuration's place and tell the program; back once it has read it."""
         self.file.write_text(text)
@@ -271,7 +288,12 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    path: Path, *servers: Server, told: dict[str, Any] | None = None, sockets: int = 1024, fails: int = 0
+    path: Path,
+    *servers: Server,
+    told: dict[str, Any] | None = None,
+    sockets: int = 1024,
+    fails: int = 0,
+    management: bool = False,
 ) -> AsyncIterator[tuple[Program, Discovery]]:
     """Servers, discovery and the program, started; ended with the block."""
     discovery = Discovery(list(servers))
@@ -289,6 +311,8 @@
         "known": known,
         "settings": told or settings(),
     }
+    if management:
+        config["management"] = "127.0.0.1:0"
     (path / "config.json").write_text(json.dumps(config))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -126,3 +126,18 @@
     family = {"MessageAim": [50.0, 50.0], "TellsLoad": False, "TellsDelay": True}
     config = read_config(write(tmp_path, told(settings=settings(FamilyInfo=family))))
     assert (config.tells_load, config.tells_delay) == (False, True)
+
+
+@pytest.mark.parametrize("value", ["nowhere", "127.0.0.1:99999", 7, [], "10.0.0.4:8080"])
+def test_a_management_address_that_does_not_serve_is_one_line(tmp_path: Path, value: Any) -> None:
+    with pytest.raises(ConfigError, match=r"config\.json': management=.*: expected [^\n]*$"):
+        read_config(write(tmp_path, told(management=value)))
+    with pytest.raises(ConfigError, match=r"BALANCER_MANAGEMENT=.*: expected [^\n]*$"):
+        read_config({**write(tmp_path, told()), "BALANCER_MANAGEMENT": str(value)})
+
+
+def test_the_managements_variable_wins_over_the_file_and_without_both_there_is_none(tmp_path: Path) -> None:
+    environ = write(tmp_path, told(management="10.0.0.4:1"))
+    assert read_config(environ).management == ("10.0.0.4", 1)
+    assert read_config({**environ, "BALANCER_MANAGEMENT": "10.0.0.4:2"}).management == ("10.0.0.4", 2)
+    assert read_config(write(tmp_path, told())).management is None
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,193 @@
+"""The staff's calls at the real program: the drain, the figures, and what is off without them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.rig import ROOT, WITHIN, Client, Program, Server, running
+
+MANAGEMENT = "switchhub.management"
+
+
+async def ping(program: Program) -> bytes:
+    client = await program.client()
+    client.send(b"PING\r\n")
+    told = await client.line()
+    client.writer.close()
+    return told
+
+
+def test_a_drain_says_no_moves_everybody_evenly_and_ok_takes_it_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (program, _):
+            assert await ping(program) == b"PONG\r\n"
+            assert await program.call("GET /healthcheck") == (200, "ready\n")
+            clients = [await program.up() for _ in range(30)]
+            begun = time.monotonic()
+            assert (await program.call("PUT /healthcheck/fail"))[0] == 200
+            assert (await program.call("GET /healthcheck"))[0] == 503
+            assert await ping(program) not in (b"PONG\r\n", b"")
+            late = await program.up()  # what still comes is placed
+            told = []
+
+            async def heard(client: Client) -> None:
+                assert await client.end() == b"MOVE\r\n"
+                told.append(time.monotonic() - begun)
+
+            first = asyncio.gather(*(heard(client) for client in (*clients, late)))
+            await asyncio.sleep(1.5)
+            assert (await program.call("PUT /healthcheck/fail"))[0] == 200  # changes nothing
+            await first
+            assert max(told) < 4.0
+            assert max(told) - min(told) > 1.5  # not all at once
+            assert await program.call("PUT /healthcheck/ok") == (200, "ready\n")
+            assert await ping(program) == b"PONG\r\n"
+            again = await program.up()
+            again.send(b"M 1\r\n")
+            assert await again.line() == b"M 1\r\n"
+
+    asyncio.run(play())
+
+
+def test_ok_stops_the_moves_that_are_left(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (program, _):
+            clients = [await program.up() for _ in range(40)]
+            await program.call("PUT /healthcheck/fail")
+            await clients[0].end()
+            await program.call("PUT /healthcheck/ok")
+            before = (await program.figures())["concurrent"]
+            assert before > 20
+            await asyncio.sleep(0.5)
+            assert (await program.figures())["concurrent"] == before
+
+    asyncio.run(play())
+
+
+def test_a_client_that_never_reads_does_not_outlive_a_drain(tmp_path: Path) -> None:
+    """Without the force at the end its `MOVE` waits for ever behind the lines that it does not read."""
+
+    async def play() -> None:
+        server = Server("a")
+        async with running(tmp_path, server, management=True) as (program, _):
+            client = await program.up()
+            client.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            server.streams[0][1].write(b"x" * 2000 + b"\r\n")
+            for _ in range(4000):
+                server.streams[0][1].write(b"x" * 2000 + b"\r\n")
+            begun = time.monotonic()
+            await program.call("PUT /healthcheck/fail")
+            async with asyncio.timeout(4.0):
+                while (await program.figures())["concurrent"]:
+                    await asyncio.sleep(0.1)
+            assert time.monotonic() - begun < 4.0
+
+    asyncio.run(play())
+
+
+def test_a_stop_in_a_drain_ends_it_and_ok_is_refused_meanwhile(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (program, _):
+            client = await program.up()
+            await program.call("PUT /healthcheck/fail")
+            program.process.terminate()
+            await program.logged("stopping with")
+            status, text = await program.call("PUT /healthcheck/ok")
+            assert status == 409 and "stopping" in text
+            assert (await program.call("GET /healthcheck"))[0] == 503
+            assert await client.end() == b"MOVE\r\n"
+            async with asyncio.timeout(WITHIN):
+                assert await program.process.wait() == 0
+
+    asyncio.run(play())
+
+
+def test_a_reload_in_a_drain_leaves_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (program, discovery):
+            await program.call("PUT /healthcheck/fail")
+            moved = {**json.loads(program.moved(discovery)), "management": "127.0.0.1:9"}
+            await program.reload(json.dumps(moved))
+            assert any("change at a restart only: management" in line for line in program.log)
+            assert (await program.call("GET /healthcheck"))[0] == 503
+            assert (await program.call("PUT /healthcheck/ok"))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_figures_are_what_scripted_peers_saw(tmp_path: Path) -> None:
+    """Random histories of requests, failures, drains and leaving clients."""
+
+    async def play() -> None:
+        rng = random.Random(5)
+        server = Server("a")
+        async with running(tmp_path, server, management=True) as (program, _):
+            heard = {"UP": 0, "BUSY": 0, "FAILED": 0}
+            standing: list[Client] = []
+            for step in range(60):
+                server.mode = rng.choice(["up"] * 6 + ["ERR", "BUSY", "reset"])
+                client = await program.open(kind="pay")
+                word = (await client.line()).split()[0].decode()
+                heard[word] += 1
+                if word == "UP":
+                    standing.append(client)
+                if rng.random() < 0.3 and standing:
+                    standing.pop(rng.randrange(len(standing))).writer.close()
+                if step == 30:
+                    await program.call("PUT /healthcheck/fail")
+                    await asyncio.sleep(0.05)
+                    await program.call("PUT /healthcheck/ok")
+            async with asyncio.timeout(WITHIN):
+                while (figures := await program.figures())["concurrent"] != len(standing):
+                    await asyncio.sleep(0.02)
+            seen = {name: figures[f"replies.pay.{name}"] for name in ("success", "overload", "error")}
+            assert seen == {"success": heard["UP"], "overload": heard["BUSY"], "error": heard["FAILED"]}
+            assert heard["UP"] and heard["BUSY"] + heard["FAILED"]
+            assert figures["dispatches"] == len(server.opened)
+            assert figures["replies.any.success"] == 0
+            assert figures["targets"] == 1
+            program.process.send_signal(10)  # SIGUSR1
+            line = await program.logged("counters ")
+            assert f"answers.served={heard['UP']} " in line
+            for each in standing:
+                each.writer.close()
+
+    asyncio.run(play())
+
+
+def test_a_drained_server_is_a_disabled_target(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), Server("b"), management=True) as (program, discovery):
+            figures = await program.figures()
+            assert (figures["targets"], figures["targets_disabled"]) == (2, 0)
+            await discovery.change("b", "Terminating")
+            await program.logged("server b draining")
+            figures = await program.figures()
+            assert (figures["targets"], figures["targets_disabled"]) == (2, 1)
+
+    asyncio.run(play())
+
+
+def test_without_a_management_address_nothing_of_it_is_imported_or_open(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a")) as (program, _):
+            await program.up()
+            maps = Path(f"/proc/{program.process.pid}/net/tcp").read_text()
+            inodes = {os.readlink(each) for each in Path(f"/proc/{program.process.pid}/fd").iterdir()}
+            listening = [line.split()[9] for line in maps.splitlines()[1:] if line.split()[3] == "0A"]
+            assert sum(f"socket:[{inode}]" in inodes for inode in listening) == 1
+
+    asyncio.run(play())
+    script = (
+        "import sys, switchhub.__main__, switchhub.net.listener;"
+        f"print([name for name in sys.modules if name.startswith({MANAGEMENT!r})])"
+    )
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout == "[]\n", done.stderr
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,94 @@
+"""What a process is, and how evenly it gives its connections away."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from switchhub.lifecycle.pace import Pace
+from switchhub.lifecycle.phase import Lifecycle, Phase
+
+
+def ready() -> Lifecycle:
+    life = Lifecycle()
+    life.begin()
+    return life
+
+
+def test_only_a_ready_process_is_healthy() -> None:
+    life = Lifecycle()
+    assert not life.healthy and not life.answers_ping
+    life.begin()
+    assert life.healthy and life.answers_ping
+    assert life.drain()
+    assert not life.healthy and not life.answers_ping
+
+
+def test_a_second_fail_and_an_ok_without_one_change_nothing() -> None:
+    life = ready()
+    assert life.restore() and life.phase is Phase.READY
+    assert life.drain() and not life.drain()
+    assert life.restore() and life.restore() and life.phase is Phase.READY
+
+
+def test_a_drain_before_the_start_is_kept_until_ok() -> None:
+    life = Lifecycle()
+    assert life.drain()
+    life.begin()
+    assert not life.healthy
+    assert life.restore() and life.phase is Phase.READY
+
+
+def test_ok_before_the_start_does_not_make_it_ready() -> None:
+    life = Lifecycle()
+    life.drain()
+    assert life.restore() and life.phase is Phase.STARTING
+    life.begin()
+    assert life.healthy
+
+
+def test_nothing_leads_back_from_stopping() -> None:
+    life = ready()
+    life.stop()
+    assert not life.restore() and not life.drain()
+    life.yield_to()
+    assert life.leaving and not life.healthy and not life.answers_ping
+
+
+def test_one_that_gives_way_still_answers_ping_for_its_successor() -> None:
+    life = ready()
+    life.yield_to()
+    assert life.answers_ping and not life.healthy
+    assert not life.drain()
+    assert life.restore() and life.healthy
+
+
+def test_pace_is_even_and_done_in_time() -> None:
+    pace, standing, moved = Pace(1.0, 3.0), 200, []
+    for step in range(300):
+        now = step * 0.01
+        due = pace.due(now, standing)
+        standing -= due
+        moved.append(due)
+    assert not any(moved[:100])
+    assert max(moved[100:299]) <= 2
+    assert 90 <= sum(moved[:200]) <= 110
+    assert standing == 0 or pace.due(3.0, standing) == standing
+
+
+def test_who_comes_up_after_the_end_goes_at_once() -> None:
+    pace = Pace(0.0, 1.0)
+    assert pace.due(1.5, 0) == 0
+    assert pace.due(1.6, 3) == 3
+
+
+@given(st.lists(st.tuples(st.floats(0.001, 0.4), st.integers(0, 20)), min_size=1, max_size=60))
+def test_pace_never_moves_more_than_stand_and_leaves_nobody(steps: list[tuple[float, int]]) -> None:
+    pace, now, standing = Pace(0.0, 2.0), 0.0, 50
+    for wait, come in steps:
+        now += wait
+        standing += come
+        due = pace.due(now, standing)
+        assert 0 <= due <= standing
+        standing -= due
+        assert now < 2.0 or standing == 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -485,7 +485,7 @@
 def test_many_clients_at_once_are_all_served(tmp_path: Path) -> None:
     async def play() -> None:
         servers = [Server(name) for name in "abcd"]
-        async with running(tmp_path, *servers) as (program, _):
+        async with running(tmp_path, *servers, sockets=4096) as (program, _):
             clients: list[Client] = await asyncio.gather(*(program.open() for _ in range(200)))
             answers = await asyncio.gather(*(client.line() for client in clients))
             assert all(answer.startswith(b"UP ") for answer in answers)
