--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -12,6 +12,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 from loguru import logger
@@ -19,12 +20,26 @@
 from switchhub.net.config import Config, ConfigError, read_config
 from switchhub.net.listener import Listener
 
+if TYPE_CHECKING:
+    from switchhub.handover.taker import Taker
+
 LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 
 
+async def taker(config: Config) -> Taker | None:
+    """What can be taken over from a process of this balancer that runs already."""
+    if config.management is None:
+        return None
+    from switchhub.handover.giver import path_of
+    from switchhub.handover.taker import Taker
+
+    path = path_of(os.environ.get("TMPDIR", ""), config.name)
+    return await Taker.find(path, config.listen) if path else None
+
+
 async def serve(config: Config) -> None:
     """Run one balancer until a signal stops it."""
-    listener = Listener(config)
+    listener = Listener(config, await taker(config))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, listener.stop)
--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -17,9 +17,9 @@
 from typing import Any
 
 from switchhub.decision.interface import (
-    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, LoadTold, Move,
-    Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged,
-    RosterFailed, RosterKind, Scope, Server, Settings, SetTimer, State, TimerFired, WatchRoster,
+    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, Learnt, LoadTold,
+    Move, Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged,
+    RosterFailed, RosterKind, Scope, Server, ServerLearnt, Settings, SetTimer, State, TimerFired, WatchRoster,
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
@@ -111,6 +111,7 @@
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
             DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
             TimerFired: lambda _event: self._out.append(WatchRoster()),
+            Learnt: self._on_learnt,
             ProbeAnswered: lambda _event: None,  # none is sent: told delays say the same, for nothing
         }
 
@@ -135,6 +136,20 @@
         return len(listed), sum(node.server.state is not State.READY
                                 or (node.fails >= DOUBT and node.aside_until > now) for node in listed)
 
+    def learnt(self) -> Learnt:
+        """What a new process of this balancer goes on with."""
+        return Learnt(self._mean_hint, self._setup_time, self._setup_spread, self._strain_at, tuple(
+            ServerLearnt(node.id, node.luck, node.fails, node.aside_until, node.limit, node.limit_at,
+                         tuple(node.sent)) for node in self._nodes.values()))
+
+    def _on_learnt(self, event: Learnt) -> None:
+        """Danger: knowing no limits it fills slow servers as others; cold ones get what both send."""
+        self._mean_hint, self._setup_time, self._setup_spread, self._strain_at, servers = event
+        for each in servers:
+            if (node := self._nodes.get(each.server)) is not None:
+                node.luck, node.fails, node.aside_until, node.limit, node.limit_at = each[1:6]
+                node.sent = deque(each.sent)
+
     # Requests and the connections that they become.
 
     def _on_request(self, event: RequestArrived) -> None:
--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -184,6 +184,14 @@
         """How many servers are listed, and how many of them get nothing new at present."""
         return self._balancer.targets(now)
 
+    def learnt(self) -> api.Learnt:
+        """What a new process of this balancer goes on with."""
+        return self._balancer.learnt()
+
+    def learn(self, now: float, learnt: api.Learnt) -> None:
+        """What a former process of this balancer knew."""
+        self._handle(now, learnt)
+
     def _worth_telling(self, now: float, server: str, delay: float) -> bool:
         """As the wire tells it: once a second while long, and once more when it no longer is."""
         told = self._told.get(server)
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -221,6 +221,28 @@
     report: Mapping[str, float]
 
 
+class ServerLearnt(NamedTuple):
+    """What is known of one server by experience; `sent`: while it is cold, when what was sent there."""
+
+    server: str
+    luck: float
+    fails: int
+    aside_until: float
+    limit: float
+    limit_at: float
+    sent: tuple[tuple[float, float], ...]
+
+
+class Learnt(NamedTuple):
+    """What a former process of this balancer knew by experience; it holds for servers that are listed."""
+
+    mean_hint: float
+    setup_time: float
+    setup_spread: float
+    strain_at: float
+    servers: tuple[ServerLearnt, ...]
+
+
 Event = (
     RequestArrived
     | ConnectionAdopted
@@ -233,6 +255,7 @@
     | RosterFailed
     | TimerFired
     | ProbeAnswered
+    | Learnt
 )
 
 
--- /dev/null
+++ b/switchhub/handover/__init__.py
@@ -0,0 +1,1 @@
+"""A new version beside the running process: what passes between the two."""
--- /dev/null
+++ b/switchhub/handover/channel.py
@@ -0,0 +1,102 @@
+"""A Unix socket between two processes of one balancer: whole messages, and sockets beside them.
+
+Owns: that socket, messages that it has not taken yet and the sockets that travel with them. Must never:
+block, or keep a socket open that has been sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import socket
+import struct
+from collections import deque
+
+from switchhub.handover.form import MESSAGE_MAX
+
+SOCKETS_MAX = 2
+_CREDENTIALS = struct.Struct("3i")  # linux: pid, uid, gid of the other side
+_FULL = (errno.ETOOMANYREFS, errno.ENOBUFS)
+
+
+def new_socket() -> socket.socket:
+    """A socket of the kind that both sides speak."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sock.setblocking(False)
+    return sock
+
+
+class Channel:
+    """One side of the way."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self._sock = sock
+        self._waiting: deque[tuple[bytes, list[socket.socket]]] = deque()
+
+    def ours(self) -> bool:
+        """Whether the other side is a process of the same user."""
+        raw = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _CREDENTIALS.size)
+        return bool(_CREDENTIALS.unpack(raw)[1] == os.getuid())
+
+    def send(self, message: bytes, *sockets: socket.socket) -> None:
+        """Send it now, or when `flush` finds room. The sockets are the channel's from here on."""
+        self._waiting.append((message, list(sockets)))
+        self.flush()
+
+    def flush(self) -> bool:
+        """Send what waits; whether nothing does any more. `OSError` once the other side has gone."""
+        while self._waiting:
+            message, sockets = self._waiting[0]
+            try:
+                if sockets:
+                    socket.send_fds(self._sock, [message], [each.fileno() for each in sockets])
+                else:
+                    self._sock.send(message)
+            except BlockingIOError:
+                return False
+            except OSError as error:
+                if error.errno in _FULL:  # too many sockets on their way
+                    return False
+                raise
+            self._waiting.popleft()
+            for each in sockets:
+                each.close()
+        return True
+
+    async def receive(self) -> tuple[bytes, list[socket.socket]] | None:
+        """The next message, or nothing at the end."""
+        while True:
+            try:
+                data, numbers, flags, _ = socket.recv_fds(self._sock, MESSAGE_MAX, SOCKETS_MAX)
+            except BlockingIOError:
+                await self._readable()
+                continue
+            except OSError:
+                return None
+            sockets = [socket.socket(fileno=number) for number in numbers]
+            if not data or flags & socket.MSG_TRUNC:
+                for each in sockets:
+                    each.close()
+                return None
+            return data, sockets
+
+    async def _readable(self) -> None:
+        loop = asyncio.get_running_loop()
+        ready = asyncio.Event()
+        loop.add_reader(self._sock, ready.set)
+        try:
+            await ready.wait()
+        finally:
+            loop.remove_reader(self._sock)
+
+    def close(self) -> None:
+        """Give it back, with whatever was not sent."""
+        for _, sockets in self._waiting:
+            for each in sockets:
+                each.close()
+        self._waiting.clear()
+        with contextlib.suppress(OSError):
+            self._sock.close()
--- /dev/null
+++ b/switchhub/handover/form.py
@@ -0,0 +1,153 @@
+"""What passes between an old and a new process, as text and back.
+
+Owns: the form and its number. Must never: do I/O, or trust what it reads: the other side may be any version.
+
+    new -> old   ask (form, listen), take
+    old -> new   listener, or no (why); known (discovery, list), held (connections), yours (what was learnt);
+                 then, as things change, held, ended (ids), pass (one connection)
+
+Sockets travel beside a message: the listening one with `listener`, a client's and its server's with `pass`.
+Names stand for classes, tenants, zones and kinds: an index means something to one process only.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from switchhub.decision.interface import Learnt, Request, ServerLearnt
+
+FORM = 1
+CHUNK = 64  # connections in one message
+MESSAGE_MAX = 1 << 17  # bytes
+
+
+class FormError(ValueError):
+    """A message that is none, or of an unknown form."""
+
+
+class Held(NamedTuple):
+    """A connection that the old process holds: being set up or standing."""
+
+    id: str
+    class_name: str
+    tenant: str
+    key: str | None
+    group: str | None
+    hint: float | None
+    server: str
+    load: float
+
+
+class Passed(NamedTuple):
+    """A standing connection on its way: what the new process needs to go on with it."""
+
+    held: Held
+    from_client: bytes
+    from_server: bytes  # read and not passed on yet: half a line
+    asked: tuple[float, ...]  # when lines went that wait for an answer
+    heard: float  # when its client last sent something
+    usual: float
+    last: bytes
+    move: bool  # it is to be moved as soon as that can be
+
+
+def write(kind: str, **values: Any) -> bytes:
+    """A message."""
+    return json.dumps({"is": kind, **values}, separators=(",", ":")).encode()
+
+
+def read(data: bytes) -> tuple[str, dict[str, Any]]:
+    """A message's kind and its values."""
+    try:
+        values = json.loads(data)
+        kind = values.pop("is")
+    except (ValueError, AttributeError, KeyError, TypeError) as error:
+        raise FormError(f"no message: {type(error).__name__}: {error}") from None
+    if not isinstance(kind, str):
+        raise FormError("no message: its kind is no word")
+    return kind, values
+
+
+def write_held(connections: Iterable[Held]) -> list[bytes]:
+    """As many messages as it takes."""
+    rows = [list(each) for each in connections]
+    return [write("held", connections=rows[at : at + CHUNK]) for at in range(0, len(rows), CHUNK)]
+
+
+def read_held(values: Mapping[str, Any]) -> list[Held]:
+    """The connections of such a message."""
+    try:
+        return [_held(row) for row in values["connections"]]
+    except (KeyError, TypeError, ValueError) as error:
+        raise FormError(f"held: {type(error).__name__}: {error}") from None
+
+
+def _held(row: Any) -> Held:
+    one = Held(*row)
+    words = (one.id, one.class_name, one.tenant, one.server)
+    if not all(isinstance(each, str) for each in words) or not one.id:
+        raise ValueError("not a connection")
+    hint = None if one.hint is None else float(one.hint)
+    return one._replace(hint=hint, load=float(one.load))
+
+
+def write_passed(one: Passed) -> bytes:
+    """One connection on its way."""
+    values = one._asdict()
+    for name in ("from_client", "from_server", "last"):
+        values[name] = base64.b64encode(values[name]).decode()
+    return write("pass", **{**values, "held": list(one.held)})
+
+
+def read_passed(values: Mapping[str, Any]) -> Passed:
+    """The same, read."""
+    try:
+        return Passed(
+            held=_held(values["held"]),
+            from_client=base64.b64decode(values["from_client"], validate=True),
+            from_server=base64.b64decode(values["from_server"], validate=True),
+            asked=tuple(float(each) for each in values["asked"]),
+            heard=float(values["heard"]),
+            usual=float(values["usual"]),
+            last=base64.b64decode(values["last"], validate=True),
+            move=bool(values["move"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise FormError(f"pass: {type(error).__name__}: {error}") from None
+
+
+def write_learnt(learnt: Learnt) -> list[Any]:
+    """What the module has learnt."""
+    return [*learnt[:-1], [[*each[:-1], list(each.sent)] for each in learnt.servers]]
+
+
+def read_learnt(row: Any) -> Learnt:
+    """The same, read."""
+    try:
+        hint, time, spread, strain_at, servers = row
+        known = tuple(_server_learnt(each) for each in servers)
+        return Learnt(float(hint), float(time), float(spread), float(strain_at), known)
+    except (TypeError, ValueError) as error:
+        raise FormError(f"learnt: {type(error).__name__}: {error}") from None
+
+
+def _server_learnt(row: Any) -> ServerLearnt:
+    name, luck, fails, aside_until, limit, limit_at, sent = row
+    return ServerLearnt(
+        str(name),
+        float(luck),
+        int(fails),
+        float(aside_until),
+        float(limit),
+        float(limit_at),
+        tuple((float(at), float(push)) for at, push in sent),
+    )
+
+
+def request_of(held: Held, classes: Mapping[str, int], tenants: Mapping[str, int]) -> Request:
+    """The request as the module counts it. A class or tenant that this process does not know is its first."""
+    index, tenant = classes.get(held.class_name, 0), tenants.get(held.tenant, 0)
+    return Request(held.id, index, 0.0, tenant, held.load or held.hint, held.key, held.group)
--- a/switchhub/lifecycle/phase.py
+++ b/switchhub/lifecycle/phase.py
@@ -3,12 +3,12 @@
 Owns: that one fact. Must never: do I/O, read a clock, or be kept a second time somewhere else: `PING`, the
 health check, the listener and the stop ask here.
 
-    starting -> ready <-> draining         by `begin`, `drain`, `restore`
-    any of these -> giving way -> stopping by `yield_to`, `stop`; nothing leads back from stopping
+    starting -> ready <-> draining           by `begin`, `drain`, `restore`
+    any of these -> giving way -> stopping   by `yield_to`, `stop`; nothing leads back from stopping
 
-Giving way is taken back by `restore` when the new process turns out to be gone before this one was told to
-stop. A process that gives way says yes to `PING`, for the clients' address is the new process's by then and a
-no would close it; its own health check says no.
+Giving way is taken back by `take_back` when the new process turns out to be gone before this one was told to
+stop. A process that gave way says yes to `PING`, for the clients' address is the new process's by then and a
+no would close it; its own health check says no, and `ok` can't bring it back.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
-        self._begun = False
+        self._begun = self._drained = self._yielded = False
 
     @property
     def healthy(self) -> bool:
@@ -41,7 +41,7 @@
     @property
     def answers_ping(self) -> bool:
         """Whether the address may be sent new clients."""
-        return self.phase in (Phase.READY, Phase.GIVING_WAY)
+        return self.phase is Phase.READY or self._yielded
 
     @property
     def leaving(self) -> bool:
@@ -56,22 +56,35 @@
 
     def drain(self) -> bool:
         """Told to drain; whether that is new."""
-        if self.phase not in (Phase.STARTING, Phase.READY):
+        if self._drained or self.phase is Phase.STOPPING:
             return False
-        self.phase = Phase.DRAINING
+        self._drained = True
+        if self.phase is not Phase.GIVING_WAY:
+            self.phase = Phase.DRAINING
         return True
 
     def restore(self) -> bool:
-        """Told to go back to work; whether it can: not while it stops."""
-        if self.phase is Phase.STOPPING:
+        """Told to go back to work; whether it can: not while it stops or another process serves."""
+        if self.phase in (Phase.GIVING_WAY, Phase.STOPPING):
             return False
+        self._drained = False
         self.phase = Phase.READY if self._begun else Phase.STARTING
         return True
 
-    def yield_to(self) -> None:
-        """A new process serves the address now."""
-        if self.phase is not Phase.STOPPING:
-            self.phase = Phase.GIVING_WAY
+    def yield_to(self) -> bool:
+        """A new process serves the address now; whether that can be."""
+        if self.phase in (Phase.GIVING_WAY, Phase.STOPPING):
+            return False
+        self.phase, self._yielded = Phase.GIVING_WAY, True
+        return True
+
+    def take_back(self) -> bool:
+        """The new process has gone; whether this one is what it was before."""
+        self._yielded = False
+        if self.phase is Phase.STOPPING:
+            return False
+        self.phase = Phase.DRAINING if self._drained else Phase.READY
+        return True
 
     def stop(self) -> None:
         """It ends."""
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -23,7 +23,7 @@
 
 from switchhub.decision.facade import Facade, Roster, RosterLost
 from switchhub.decision.interface import RosterKind, State
-from switchhub.net.config import Address, Config, Listing, ListingError, checked, parse_listing
+from switchhub.net.config import Address, Config, Entry, Listing, ListingError, checked, parse_listing
 from switchhub.net.counters import Counters
 
 WAIT_MS = 10_000  # how long a watch may wait for news
@@ -67,6 +67,7 @@
         self._version: int | None = config.known.version  # none yet of a discovery that was moved to
         self._addresses: dict[str, Address] = {}
         self._ready: set[str] = set()
+        self._listed: dict[str, Entry] = {}
         self._apply(config.known, RosterKind.REMEMBERED)
 
     def address(self, server: str) -> Address | None:
@@ -77,6 +78,34 @@
         """Whether something new may be sent there."""
         return server in self._ready
 
+    def whole(self) -> tuple[Address, dict[str, Any]]:
+        """Where it watches, and the list as it stands, in discovery's own form."""
+        zones = {index: name for name, index in self._config.zones.items()}
+        kinds = {index: name for name, index in self._config.kinds.items()}
+        servers = [
+            {
+                "id": server.id,
+                "addr": "{}:{}".format(*address),
+                "zone": zones.get(server.zone, ""),
+                "kind": kinds.get(server.kind, ""),
+                "cell": server.cell,
+                "state": "Ready" if server.state is State.READY else "Terminating",
+                "weight": server.weight,
+                "started_ms": server.born,
+            }
+            for server, address in self._listed.values()
+        ]
+        return self._at, {"version": self._version or 0, "full": True, "servers": servers}
+
+    def inherit(self, address: Address, listing: Listing) -> bool:
+        """Begin with the list of a former process, if that watched the same discovery."""
+        if address != self._at:
+            return False
+        self._version = listing.version or None
+        self._ready.clear()
+        self._apply(listing, RosterKind.REMEMBERED)
+        return True
+
     def ask(self) -> None:
         """The module wants a watch."""
         self._asked.set()
@@ -122,8 +151,15 @@
     def _apply(self, listing: Listing, kind: RosterKind) -> None:
         if kind is RosterKind.WHOLE:
             self._ready.clear()
-        for server, address in listing.entries:
+        if kind in (RosterKind.WHOLE, RosterKind.REMEMBERED):
+            self._listed.clear()
+        for entry in listing.entries:
+            server, address = entry
             self._addresses[server.id] = address
+            if server.state is State.GONE:
+                self._listed.pop(server.id, None)
+            else:
+                self._listed[server.id] = entry
             if server.state is State.READY:
                 self._ready.add(server.id)
             else:
--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -14,7 +14,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 LINE_MAX = 4096
 FOR_FILES = 32  # descriptors that are no connections: the log, the event loop, discovery, the listener
@@ -43,7 +43,7 @@
     have ended but for the other side's end. Each waits in a time-out; giving it up brings that forward."""
 
     def __init__(self, allowed: int) -> None:
-        self._allowed = allowed - FOR_FILES
+        self._total = self._allowed = allowed - FOR_FILES
         self.open = 0
         self._silent: dict[Wire, tuple[float, asyncio.Timeout]] = {}  # the longest silent first
         self._ending: dict[Wire, tuple[float, asyncio.Timeout]] = {}
@@ -64,6 +64,16 @@
         """An accepted socket."""
         return Wire(sock, self)
 
+    def passed_on(self, sock: socket.socket, unread: bytes) -> Wire:
+        """A socket of a former process, and what was read there and not taken."""
+        wire = Wire(sock, self)
+        wire.put_back(unread)
+        return wire
+
+    def share(self, elsewhere: int) -> None:
+        """So many sockets are another process's: the limit is one for both."""
+        self._allowed = self._total - elsewhere
+
     def loosen(self, wire: Wire, wait: asyncio.Timeout, ending: bool) -> None:
         """No request needs this one; it waits for its other side in this time-out."""
         (self._ending if ending else self._silent)[wire] = asyncio.get_running_loop().time(), wait
@@ -103,10 +113,28 @@
         return self.open >= self._allowed + FOR_FILES // 2
 
 
+class Waiting(Protocol):
+    """Something whose task reads a socket, or accepts from it."""
+
+    sock: socket.socket
+    waits: bool  # the task does now, and nothing has come
+
+
+async def parked(reader: Waiting) -> bool:
+    """Read nothing more from this socket; whether its task still waits, and so may be cancelled.
+
+    Danger: a task cancelled after the loop read for it, but before it ran, loses what was read. One that was
+    given something runs in the next rounds of the loop and waits no longer."""
+    asyncio.get_running_loop().remove_reader(reader.sock)
+    for _ in range(2):
+        await asyncio.sleep(0)
+    return reader.waits
+
+
 class Wire:
     """A non-blocking socket that speaks lines."""
 
-    __slots__ = ("_buffer", "_end", "_sockets", "_start", "_view", "closed", "sock")
+    __slots__ = ("_buffer", "_end", "_sockets", "_start", "_view", "closed", "sock", "waits")
 
     def __init__(self, sock: socket.socket, sockets: Sockets) -> None:
         sock.setblocking(False)
@@ -116,6 +144,7 @@
         self._sockets = sockets
         sockets.open += 1
         self.closed = False
+        self.waits = False  # `fill` does, and nothing has come
         self._buffer = bytearray(LINE_MAX)
         self._view = memoryview(self._buffer)
         self._start = self._end = 0
@@ -129,7 +158,11 @@
                 raise LineError("line too long")
             self._buffer[: self._end - self._start] = self._buffer[self._start : self._end]
             self._start, self._end = 0, self._end - self._start
-        count = await asyncio.get_running_loop().sock_recv_into(self.sock, self._view[self._end :])
+        self.waits = True
+        try:
+            count = await asyncio.get_running_loop().sock_recv_into(self.sock, self._view[self._end :])
+        finally:
+            self.waits = False
         self._end += count
         return count
 
@@ -185,6 +218,13 @@
         """All that is unread, also half a line."""
         return self._view[self._start : self._end]
 
+    def put_back(self, unread: bytes) -> None:
+        """What was read elsewhere comes first."""
+        if len(unread) > LINE_MAX:
+            raise LineError("line too long")
+        self._buffer[: len(unread)] = unread
+        self._start, self._end = 0, len(unread)
+
     def take(self, count: int) -> None:
         """So many bytes are done with."""
         self._start += count
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 import math
 import os
@@ -23,14 +24,16 @@
 from switchhub.decision.facade import Facade, Send
 from switchhub.lifecycle.pace import Pace
 from switchhub.lifecycle.phase import Lifecycle
-from switchhub.net.config import Config, ConfigError, read_config
+from switchhub.net.config import Address, Config, ConfigError, read_config
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
 from switchhub.net.health import Health
-from switchhub.net.lines import LineError, Sockets, Wire, parse_head
+from switchhub.net.lines import LineError, Sockets, Wire, parked, parse_head
 from switchhub.net.session import EARLY, FINISH_WITHIN, Session, final_answer, read_request
 
 if TYPE_CHECKING:
+    from switchhub.handover.giver import Giver
+    from switchhub.handover.taker import Taker
     from switchhub.management.server import Management
 
 BACKLOG = 4096
@@ -76,7 +79,7 @@
 class Listener:
     """One balancer."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, taker: Taker | None = None) -> None:
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.counters = Counters()
@@ -88,12 +91,17 @@
         self._pace: Pace | None = None  # of those that are given away now
         self._forced = math.inf  # when nobody is waited for any more
         self._management: Management | None = None
+        self._taker = taker
+        self._giver: Giver | None = None
         room = 0
         if config.management is not None:  # not imported where it is not wanted
+            from switchhub.handover import giver
             from switchhub.management import server
 
-            room = server.ROOM
+            room = server.ROOM + giver.ROOM
             self._management = server.Management(self, config.management)
+            path = giver.path_of(os.environ.get("TMPDIR", ""), config.name)
+            self._giver = giver.Giver(self, path) if path else None
         self.sockets = Sockets(config.sockets - room)
         self.sessions: dict[str, Session] = {}
         self.ids = Ids()
@@ -103,14 +111,31 @@
         self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
+        self.sock = self._bound() if taker is None else taker.sock
+        self.waits = False  # for a client to accept
+        self._accept_task: asyncio.Task[None] | None = None
+        self._accepting = asyncio.Event()
+        self._accepting.set()
+
+    def _bound(self) -> socket.socket:
+        """The clients' address. Where staff upgrade, another process may have it too: an old one that can't
+        hand it over, or a new one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.config.management is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.setblocking(False)
         try:
-            self._sock.bind(config.listen)
+            sock.bind(self.config.listen)
         except (OSError, OverflowError) as error:
-            host, port = config.listen
+            host, port = self.config.listen
             raise ConfigError(f"listen={host}:{port}: expected an address that is free: {error}") from None
+        return sock
+
+    def address(self) -> Address:
+        """Where clients connect."""
+        host, port = self.sock.getsockname()
+        return host, port
 
     def clock(self) -> float:
         """Unix time in milliseconds that never runs backward."""
@@ -174,14 +199,22 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
+        if self._taker is not None:
+            await self._taker.take(self)
         self._chores()
-        self._sock.listen(BACKLOG)
-        logger.info("{} listens on {}:{}", self.config.name, *self._sock.getsockname())
-        duties = [self._accept(), self._keep_house(), self.discovery.run()]
+        self.sock.listen(BACKLOG)
+        logger.info("{} listens on {}:{}", self.config.name, *self.address())
+        duties = [self._take_in_all(), self._keep_house(), self.discovery.run()]
         if self._management is not None:
             duties.append(self._management.run())
+        aside = [
+            each
+            for each in (self._taker and self._taker.run(self), self._giver and self._giver.run())
+            if each
+        ]
         self.lifecycle.begin()
         loops = [asyncio.create_task(each) for each in duties]
+        others = [asyncio.create_task(each) for each in aside]  # these may end by themselves
         stopping = asyncio.create_task(self._stopping.wait())
         try:
             done, _ = await asyncio.wait((*loops, stopping), return_when=asyncio.FIRST_COMPLETED)
@@ -189,20 +222,45 @@
                 task.result()
             await self._stop()
         finally:
-            self._sock.close()
-            for task in (*loops, stopping):
+            self.sock.close()
+            for task in (*loops, *others, stopping):
                 task.cancel()
+            await asyncio.wait((*loops, *others, stopping))
             logger.info("counters {}", self.counters.line())
 
-    async def _accept(self) -> None:
+    async def _take_in_all(self) -> None:
+        """Accept, but while a new process does."""
         while True:
+            await self._accepting.wait()
+            self._accept_task = asyncio.create_task(self._accept())
+            try:
+                await asyncio.wait((self._accept_task,))
+            finally:
+                self._accept_task.cancel()
+            if not self._accept_task.cancelled():
+                self._accept_task.result()
+
+    async def pause_accept(self) -> None:
+        """Accept nobody any more; whom the loop has accepted is taken in."""
+        self._accepting.clear()
+        if await parked(self) and self._accept_task is not None:
+            self._accept_task.cancel()
+
+    def resume_accept(self) -> None:
+        """Accept again."""
+        self._accepting.set()
+
+    async def _accept(self) -> None:
+        while self._accepting.is_set():
             try:
-                sock, _ = await self.loop.sock_accept(self._sock)
+                self.waits = True
+                sock, _ = await self.loop.sock_accept(self.sock)
+                self.waits = False
                 for _ in range((AT_NEED if self.gate.waiting else AT_ONCE) - 1):
                     self._take_in(sock)
                     if self.sockets.out:
                         break
-                    sock, _ = self._sock.accept()
+                    sock, _ = self.sock.accept()
                 else:
                     self._take_in(sock)
             except BlockingIOError:  # the backlog is empty
@@ -301,6 +359,29 @@
             self.counters.add("errors")
             logger.opt(exception=task.exception()).error("a session broke")
 
+    def go_on(self, session: Session) -> None:
+        """Serve a connection that a former process has passed on."""
+        self.sessions[session.id] = session
+        self.counters.add("sessions.taken_over")
+        self._start(session.go_on())
+
+    async def _empty_queue(self) -> None:
+        """Take in whom the kernel has accepted and close the clients' address.
+
+        Danger: where a new process shares it without a hand-over, the kernel goes on giving this one half of
+        the new clients, and what lies unaccepted when it closes is reset."""
+        if self.sock.fileno() < 0:
+            return
+        await self.pause_accept()
+        with contextlib.suppress(OSError):
+            while True:
+                self._take_in(self.sock.accept()[0])
+        self.sock.close()
+
+    def listening_copy(self) -> socket.socket:
+        """The clients' address, for a new process."""
+        return self.sock.dup()
+
     def give_back(self, wire: Wire, reset: bool) -> None:
         """End a socket: at once with a reset, or in order."""
         if reset:
@@ -315,6 +396,8 @@
             try:
                 self._chores()
                 self._give_away()
+                if self._giver is not None:
+                    self._giver.tell()
                 if self.loop.time() - checked >= CHECK:
                     checked = self.loop.time()
                     self._check(self.clock())
@@ -346,6 +429,8 @@
             if session is not None:
                 self.counters.add("moves.asked")
                 session.move()
+            elif self._taker is not None:
+                self._taker.move(request)
         if chores.watch:
             self.discovery.ask()
 
@@ -366,9 +451,16 @@
         starts = self.loop.time()
         ends = starts + given
         linger = max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
+        heir = self._giver is not None and self._giver.has_heir
         if self._pace is None:  # one that drains goes on as it does
             self._pace = Pace(starts + linger, starts + given * MOVE_TO)
-        while (now := self.loop.time()) < ends and (self.sessions or self._tasks or now < starts + LINGER):
+        while (now := self.loop.time()) < ends and (
+            self.sessions or self._tasks or (now < starts + LINGER and not heir)
+        ):
+            if self._giver is not None:
+                await self._giver.pass_all_on()
+                if now >= starts + LINGER and not self._giver.has_heir:
+                    await self._empty_queue()
             await asyncio.sleep(TICK)
         for _, _, turn in self._latest:
             if not turn.done():
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -10,10 +10,11 @@
 import asyncio
 import contextlib
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from loguru import logger
 
@@ -22,9 +23,10 @@
 from switchhub.decision.interface import Request, Result
 from switchhub.net.config import Config
 from switchhub.net.health import LoadLines
-from switchhub.net.lines import Head, LineError, Wire, parse_head
+from switchhub.net.lines import Head, LineError, Wire, parked, parse_head
 
 if TYPE_CHECKING:
+    from switchhub.handover.form import Held, Passed
     from switchhub.net.listener import Listener
 
 EARLY = 25.0  # milliseconds before the client's deadline at which its answer is ready at the latest
@@ -40,6 +42,7 @@
 ADOPT_WITHIN, ADOPT_RETRY = 38.0, 0.5  # seconds for a connection of before the start to stand again
 WAIT_MAX, HINT_MAX = 1e7, 1e12  # a `d` or an `h` that no client can mean
 SHOWN = 100  # bytes of a malformed line that the log shows
+PART_WITHIN = 0.25  # seconds that what is being written has before a connection is moved, not passed on
 MESSAGES_KEPT = 16  # unanswered lines whose times are kept
 PARTING = {b"BYE": Result.OK, b"MOVE": Result.CANCELLED}  # a server's last words
 _FIGURE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?")
@@ -60,6 +63,7 @@
     SILENT = "silent"
     MOVED = "moved"
     STOPPED = "stopped"
+    PASSED_ON = "passed_on"
     EARLY = "early"
 
 
@@ -105,6 +109,8 @@
         self.client = client
         self.server: Wire | None = None
         self.id = self._class = ""
+        self._tenant = ""
+        self.request: Request | None = None
         self.place = ""  # the server of the present attempt
         self.up = False
         self.up_at = 0.0
@@ -112,6 +118,9 @@
         self._arrived = self._deadline = 0.0  # when its first line's last byte came, when it gives up
         self._asked: deque[float] = deque(maxlen=MESSAGES_KEPT)  # when lines went that wait for an answer
         self._sending = self._move_asked = False
+        self._parting = False  # its tasks stop reading: it is passed on to a new process
+        self._reader: asyncio.Task[None] | None = None
+        self._down: asyncio.Task[None] | None = None
         self._stands: asyncio.Future[None] = listener.loop.create_future()
         self._done: asyncio.Future[End] = listener.loop.create_future()
         self._loads = LoadLines(0.0)
@@ -119,7 +128,6 @@
 
     async def run(self) -> None:
         """Serve this client to its end; everything is given back here."""
-        reader: asyncio.Task[None] | None = None
         reset = False
         try:
             line = await self._first_line()
@@ -135,17 +143,19 @@
             if not self._node.ids.take(request.id):
                 raise LineError("this id is taken")
             self.client.take(len(line))
-            self.id, self._class = request.id, head.values["c"]
+            self.id, self._class, self._tenant = request.id, head.values["c"], head.values.get("t", "")
+            self.request = request
             self._loads = LoadLines(request.hint or 0.0)
             self._node.sessions[request.id] = self
             self._counters.add("requests.taken")
             logger.debug("{} taken: key {} {}", head.id, head.key, head.values)
             if "at" not in head.values:
                 request = await self._admitted(request)
-            reader = asyncio.create_task(self._from_client())
+            self._reader = asyncio.create_task(self._from_client())
             setting_up = self._adopt if "at" in head.values else self._set_up
             if await setting_up(head, request):
-                reset = await self._relay(request)
+                self._counters.answer(self._class, "served")
+                reset = await self._relay()
         except LineError as error:
             logger.debug("malformed: {}: {}", error, self.client.rest()[:SHOWN].tobytes())
             self._counters.add("answers.malformed")
@@ -165,15 +175,98 @@
             if self.id and not self._stands.done():
                 self._answer("failed", FAILED)
         finally:
-            if reader is not None:
-                reader.cancel()
-            if self.id:
-                del self._node.sessions[self.id]
-                self._node.ids.end(self.id)
-            if self.server is not None:
-                self._node.give_back(self.server, reset)
-                self.server = None
-            self._node.give_back(self.client, reset)
+            self._give_back(reset)
+
+    def _give_back(self, reset: bool) -> None:
+        if self._reader is not None:
+            self._reader.cancel()
+        if self.id:
+            del self._node.sessions[self.id]
+            self._node.ids.end(self.id)
+        if self.server is not None:
+            self._node.give_back(self.server, reset)
+            self.server = None
+        self._node.give_back(self.client, reset)
+
+    # From one process of this balancer to the next.
+
+    def held(self) -> Held | None:
+        """What a new process counts of it; nothing before a server is chosen."""
+        from switchhub.handover.form import Held
+
+        request = self.request
+        if request is None or not self.place:
+            return None
+        load = self._loads.load or 0.0
+        return Held(
+            self.id, self._class, self._tenant, request.key, request.group, request.hint, self.place, load
+        )
+
+    async def pass_on(self, send: Callable[[Passed, socket.socket, socket.socket], bool]) -> None:
+        """Stop reading and send both sides to the new process. What is being written to a side that does not
+        take it can't be parted with: its client is moved."""
+        from switchhub.handover.form import Passed
+
+        if not self.up or self._parting or self._done.done() or self._reader is None or self._down is None:
+            return
+        self._parting = True
+        client, server = self.client, cast(Wire, self.server)
+        for wire, task in ((client, self._reader), (server, self._down)):
+            if await parked(wire):
+                task.cancel()
+        await asyncio.wait((self._reader, self._down), timeout=PART_WITHIN)
+        held = self.held()
+        if self._done.done() or held is None:
+            return
+        if not (self._reader.done() and self._down.done()):
+            return self.move(at_once=True)
+        passed = Passed(
+            held,
+            client.rest().tobytes(),
+            server.rest().tobytes(),
+            tuple(self._asked),
+            self._heard,
+            self._loads.usual,
+            self._last,
+            self._move_asked,
+        )
+        if not send(passed, client.sock, server.sock):
+            return self.move(at_once=True)
+        client.close()
+        server.close()
+        self._finish(End.PASSED_ON)
+
+    @classmethod
+    def passed(
+        cls, listener: Listener, passed: Passed, client: Wire, server: Wire, request: Request
+    ) -> Session:
+        """A connection that a former process of this balancer held."""
+        session = cls(listener, client)
+        session.server, session.request = server, request
+        held = passed.held
+        session.id, session._class, session._tenant, session.place = (
+            held.id,
+            held.class_name,
+            held.tenant,
+            held.server,
+        )
+        session._heard, session._last, session._move_asked = passed.heard, passed.last, passed.move
+        session._asked.extend(passed.asked)
+        session._loads = LoadLines(passed.usual)
+        session._loads.load = held.load
+        return session
+
+    async def go_on(self) -> None:
+        """Serve a connection that was passed on, to its end."""
+        reset = False
+        try:
+            self._reader = asyncio.create_task(self._from_client())
+            reset = await self._relay()
+        except Exception:
+            logger.exception("a session broke")
+            self._counters.add("errors")
+        finally:
+            self._give_back(reset)
 
     async def _first_line(self) -> memoryview | None:
         """The line that begins the connection; `PING`s before it are answered. Nothing if none came.
@@ -369,16 +462,17 @@
 
     # The standing connection.
 
-    async def _relay(self, request: Request) -> bool:
+    async def _relay(self) -> bool:
         """Pass lines on until one side ends; whether that was a reset."""
-        self._counters.answer(self._class, "served")
         self.up, self.up_at = True, self._clock()
         self._stands.set_result(None)
-        down = asyncio.create_task(self._from_server())
+        self._down = asyncio.create_task(self._from_server())
+        if self._move_asked:
+            self.move()
         try:
             end = await self._done
         finally:
-            down.cancel()
+            self._down.cancel()
             self.up = False
             self._over(self.up_at, self._result())
         self._counters.add(f"ends.{end.value}")
@@ -411,7 +505,11 @@
         """Client to server. Before `UP` it only notices that the client has left, or does not wait."""
         client = self.client
         try:
-            while await client.fill():
+            while True:
+                if self._parting:
+                    return
+                if not await client.fill():
+                    break
                 if not self._stands.done():
                     return self._finish(End.EARLY)
                 self._heard = self._clock()
@@ -452,6 +550,8 @@
                     self._read_news(lines)
                     await self._to_client(lines)
                     server.take(len(lines))
+                if self._parting:
+                    return
                 if not await server.fill():
                     if len(server.rest()):
                         await self._to_client(server.rest())
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -211,6 +211,7 @@
     def __init__(self, process: asyncio.subprocess.Process, port: int, file: Path) -> None:
         self.process, self.port, self.file = process, port, file
         self.log: list[str] = []
+        self.killed = False  # by the test, on purpose
         self._reading = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
@@ -228,8 +229,8 @@
         )
         return client
 
-    async def up(self) -> Client:
-        client = await self.open()
+    async def up(self, values: str = "") -> Client:
+        client = await self.open(values)
         client.receipt = await client.line()
         assert client.receipt.startswith(b"UP ")
         return client
@@ -286,6 +287,39 @@
         return self.process.returncode
 
 
+async def started(file: Path, sockets: int = 1024, environ: dict[str, str] | None = None) -> Program:
+    """The program with this configuration, once it listens."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "switchhub",
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(file), "TMPDIR": str(file.parent), **(environ or {})},
+        stderr=asyncio.subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+    )
+    assert process.stderr is not None
+    before: list[str] = []
+    try:
+        async with asyncio.timeout(WITHIN):
+            while b"listens on" not in (line := await process.stderr.readline()):
+                assert line, f"the program ended: {before}"
+                before.append(line.decode())
+    except BaseException:
+        if process.returncode is None:
+            process.kill()
+        raise
+    program = Program(process, int(line.rsplit(b":", 1)[1]), file)
+    program.log[:0] = before
+    return program
+
+
+async def ended(program: Program) -> None:
+    """The program's end, as it should be."""
+    assert program.process.returncode in (None, 0) or program.killed, program.log
+    assert not any("Traceback" in line for line in program.log), program.log
+
+
 @contextlib.asynccontextmanager
 async def running(
     path: Path,
@@ -313,29 +347,16 @@
     }
     if management:
         config["management"] = "127.0.0.1:0"
-    (path / "config.json").write_text(json.dumps(config))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "switchhub",
-        cwd=ROOT,
-        env={**os.environ, "BALANCER_CONFIG": str(path / "config.json")},
-        stderr=asyncio.subprocess.PIPE,
-        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
-    )
-    assert process.stderr is not None
+    file = path / "config.json"
+    file.write_text(json.dumps(config))
+    program = await started(file, sockets)
     try:
-        async with asyncio.timeout(WITHIN):
-            while b"listens on" not in (line := await process.stderr.readline()):
-                assert line, "the program ended"
-        program = Program(process, int(line.rsplit(b":", 1)[1]), path / "config.json")
         yield program, discovery
-        assert process.returncode in (None, 0), program.log
-        assert not any("Traceback" in line for line in program.log), program.log
+        await ended(program)
     finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+        if program.process.returncode is None:
+            program.process.kill()
+            await program.process.wait()
         for part in parts:
             await part.close()
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,496 @@
+"""A new version beside the running process: what passes between the two, and what clients see of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from switchhub.decision.interface import Learnt, ServerLearnt
+from switchhub.handover import form
+from switchhub.handover.giver import Giver, path_of
+from tests.rig import WITHIN, Client, Program, Server, ended, running, started
+
+# The form.
+
+WORDS = st.text(max_size=8)
+FIGURES = st.floats(0, 1e12)
+HELD = st.builds(
+    form.Held,
+    id=st.text(min_size=1, max_size=8),
+    class_name=WORDS,
+    tenant=WORDS,
+    key=st.none() | WORDS,
+    group=st.none() | WORDS,
+    hint=st.none() | FIGURES,
+    server=WORDS,
+    load=FIGURES,
+)
+
+
+@given(st.lists(HELD, max_size=200))
+def test_connections_come_back_as_they_went(held: list[form.Held]) -> None:
+    back = []
+    for message in form.write_held(held):
+        assert len(message) < form.MESSAGE_MAX
+        kind, values = form.read(message)
+        assert kind == "held"
+        back += form.read_held(values)
+    assert back == held
+
+
+@given(
+    HELD, st.binary(max_size=4096), st.binary(max_size=4096), st.lists(FIGURES, max_size=16), st.booleans()
+)
+def test_a_passed_connection_comes_back_as_it_went(
+    held: form.Held, up: bytes, down: bytes, asked: list[float], move: bool
+) -> None:
+    passed = form.Passed(held, up, down, tuple(asked), 5.0, 7.5, b"UP", move)
+    message = form.write_passed(passed)
+    kind, values = form.read(message)
+    assert kind == "pass" and len(message) < form.MESSAGE_MAX
+    assert form.read_passed(values) == passed
+
+
+def test_what_was_learnt_comes_back_as_it_went() -> None:
+    servers = (
+        ServerLearnt("s1", 0.5, 2, 7.0, float("inf"), 0.0, ()),
+        ServerLearnt("s2", 0.1, 0, 0.0, 900.0, 5.0, ((1.0, 2.0), (3.0, 4.0))),
+    )
+    learnt = Learnt(12.5, 30.0, 4.0, float("-inf"), servers)
+    _, values = form.read(form.write("yours", learnt=form.write_learnt(learnt)))
+    assert form.read_learnt(values["learnt"]) == learnt
+
+
+@given(st.binary(max_size=200))
+def test_whatever_comes_is_a_message_or_said_to_be_none(data: bytes) -> None:
+    with contextlib.suppress(form.FormError):
+        form.read(data)
+
+
+@pytest.mark.parametrize(
+    "values", [{}, {"connections": 3}, {"connections": [[1]]}, {"connections": [[""] * 8]}]
+)
+def test_connections_that_are_none_are_said_to_be_none(values: dict[str, Any]) -> None:
+    with pytest.raises(form.FormError):
+        form.read_held(values)
+    with pytest.raises(form.FormError):
+        form.read_passed(values)
+    with pytest.raises(form.FormError):
+        form.read_learnt(values)
+
+
+def test_a_path_that_is_too_long_is_none() -> None:
+    assert path_of("", "n0") == ""
+    assert path_of("/tmp", "a/../b") == "/tmp/switchhub-a%2F..%2Fb.sock"
+    assert path_of("/tmp/" + "x" * 100, "n0") == ""
+
+
+# The program.
+
+
+async def beside(program: Program, **environ: str) -> Program:
+    """A new process at the same clients' address."""
+    config = {**json.loads(program.file.read_text()), "listen": f"127.0.0.1:{program.port}"}
+    file = program.file.parent / "next.json"
+    file.write_text(json.dumps(config))
+    new = await started(file, environ=environ)
+    new.file = program.file
+    return new
+
+
+@contextlib.asynccontextmanager
+async def upgrade(program: Program, **environ: str) -> AsyncIterator[Program]:
+    """A new process that is ready, ended with the block."""
+    new = await beside(program, **environ)
+    try:
+        assert (await new.call("GET /healthcheck"))[0] == 200
+        yield new
+        await ended(new)
+    finally:
+        if new.process.returncode is None:
+            new.process.kill()
+            await new.process.wait()
+
+
+async def gone(program: Program) -> None:
+    """Told to stop, it ends by itself and in order."""
+    program.process.terminate()
+    async with asyncio.timeout(WITHIN):
+        assert await program.process.wait() == 0
+    await ended(program)
+
+
+def test_standing_connections_go_on_in_the_new_process(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a")
+        async with running(tmp_path, server, management=True) as (old, _):
+            clients = [await old.up() for _ in range(20)]
+            clients[0].send(b"M ha")
+            server.streams[1][1].write(b"hal")
+            await asyncio.sleep(0.05)
+            async with upgrade(old) as new:
+                assert (await old.call("GET /healthcheck")) == (503, "giving way to a new version\n")
+                assert (await old.call("PUT /healthcheck/ok"))[0] == 409
+                begun = asyncio.get_running_loop().time()
+                await gone(old)
+                assert asyncio.get_running_loop().time() - begun < 1.0
+                clients[0].send(b"lf\r\n")
+                server.streams[1][1].write(b"f\r\n")
+                assert await clients[0].line() == b"M half\r\n"
+                assert await clients[1].line() == b"half\r\n"
+                for client in clients:
+                    client.send(b"M 1\r\n")
+                    assert await client.line() == b"M 1\r\n"
+                assert (await new.figures())["concurrent"] == 20
+                clients[2].writer.close()
+                server.streams[3][1].close()
+                assert await clients[3].end() == b""
+                async with asyncio.timeout(WITHIN):
+                    await server.streams[2][1].wait_closed()
+                assert len(server.opened) == 20
+                again = await new.up()
+                again.send(b"M 2\r\n")
+                assert await again.line() == b"M 2\r\n"
+
+    asyncio.run(play())
+
+
+def test_the_new_process_counts_what_the_old_one_holds(tmp_path: Path) -> None:
+    """Without the hand-over's sums, the new process fills both servers alike."""
+
+    async def play() -> None:
+        servers = Server("a"), Server("b")
+        async with running(tmp_path, *servers, management=True) as (old, discovery):
+            await discovery.change("b", "Terminating")
+            await old.logged("server b draining")
+            clients = [await old.up(",h=100") for _ in range(10)]
+            await discovery.change("b", "Ready")
+            await old.logged("server b ready")
+            async with upgrade(old) as new:
+                for count in range(1, 11):
+                    clients.append(await new.up(",h=100"))
+                    assert len(servers[1].opened) == count
+                await gone(old)
+                for client in clients[:10]:  # the sums fall as they end
+                    client.writer.close()
+                async with asyncio.timeout(WITHIN):
+                    while (await new.figures())["concurrent"] != 10:
+                        await asyncio.sleep(0.02)
+                before = len(servers[0].opened)
+                for _ in range(8):
+                    await new.up(",h=100")
+                assert len(servers[0].opened) >= before + 7
+
+    asyncio.run(play())
+
+
+def test_an_id_that_the_old_process_holds_is_taken(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.client()
+            client.send(b"OPEN 00aa key c=any,t=acme,d=2000\r\n")
+            assert (await client.line()).startswith(b"UP ")
+            async with upgrade(old):
+                other = await old.client()
+                other.send(b"OPEN 00aa key c=any,t=acme,d=2000\r\n")
+                assert await other.line() == b"ERR\r\n"
+
+    asyncio.run(play())
+
+
+def test_what_is_being_set_up_stays_with_the_old_process_and_follows(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a", "silent")
+        async with running(tmp_path, server, management=True) as (old, _):
+            client = await old.open(kind="pay")
+            async with asyncio.timeout(WITHIN):
+                while not server.opened:
+                    await asyncio.sleep(0.01)
+            async with upgrade(old) as new:
+                old.process.terminate()
+                await old.logged("stopping with")
+                server.streams[0][1].write(b"UP a-1\r\n")
+                assert await client.line() == b"UP a-1\r\n"
+                async with asyncio.timeout(WITHIN):
+                    assert await old.process.wait() == 0
+                    while (await new.figures())["concurrent"] != 1:
+                        await asyncio.sleep(0.02)
+                server.streams[0][1].write(b"hello\r\n")
+                assert await client.line() == b"hello\r\n"
+                assert len(server.opened) == 1
+
+    asyncio.run(play())
+
+
+def test_who_does_not_take_what_is_written_is_moved_and_the_rest_goes_on(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a")
+        async with running(tmp_path, server, management=True) as (old, _):
+            deaf, client = await old.up(), await old.up()
+            deaf.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            for _ in range(4000):
+                server.streams[0][1].write(b"x" * 2000 + b"\r\n")
+            async with upgrade(old) as new:
+                await gone(old)
+                client.send(b"M 1\r\n")
+                assert await client.line() == b"M 1\r\n"
+                assert (await new.figures())["concurrent"] == 1
+
+    asyncio.run(play())
+
+
+def test_a_new_process_that_dies_gives_the_address_back(tmp_path: Path) -> None:
+    """Before the old one was told to stop; it serves on, its connections never left it."""
+
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            new = await beside(old)
+            await old.logged("giving way")
+            new.process.kill()
+            await new.process.wait()
+            await old.logged("the new process has gone, ready again")
+            assert (await old.call("GET /healthcheck"))[0] == 200
+            kept = [await old.up() for _ in range(3)]
+            client.send(b"M 1\r\n")
+            assert await client.line() == b"M 1\r\n"
+            async with upgrade(old) as third:
+                await gone(old)
+                client.send(b"M 2\r\n")
+                assert await client.line() == b"M 2\r\n"
+                assert (await third.figures())["concurrent"] == 1 + len(kept)
+
+    asyncio.run(play())
+
+
+def test_an_old_process_killed_while_it_holds_connections_leaves_no_sums(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers = Server("a"), Server("b")
+        async with running(tmp_path, *servers, management=True) as (old, _):
+            clients = [await old.up(",h=100") for _ in range(6)]
+            async with upgrade(old) as new:
+                old.killed = True
+                old.process.kill()
+                await old.process.wait()
+                await new.logged("the old process has ended; 6 of its sessions went with it")
+                for client in clients:
+                    with contextlib.suppress(ConnectionError):
+                        await client.end()
+                kept = [await new.up(",h=100") for _ in range(4)]
+                assert (await new.figures())["concurrent"] == len(kept)
+                assert {len(server.opened) for server in servers} == {3 + 2}
+
+    asyncio.run(play())
+
+
+def old_form(path: str) -> socket.socket:
+    """A process that speaks another form."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sock.bind(path)
+    sock.listen(4)
+    return sock
+
+
+@pytest.mark.parametrize("there", ["nothing", "stale", "foreign", "other form", "long"])
+def test_without_a_hand_over_the_address_is_shared(tmp_path: Path, there: str) -> None:
+    """No `$TMPDIR` in common, or something else at the path: the kernel deals out new clients to both, and
+    the old process moves those that it holds."""
+
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            folder = tmp_path / ("x" * 120 if there == "long" else "other")
+            folder.mkdir()
+            path = path_of(str(folder), "n0")
+            other = None
+            if there == "stale":
+                old_form(path).close()
+            elif there == "foreign":
+                Path(path).write_text("mine")
+            elif there == "other form":
+                other = old_form(path)
+                other.setblocking(False)
+
+                async def answer(sock: socket.socket) -> None:
+                    theirs, _ = await asyncio.get_running_loop().sock_accept(sock)
+                    theirs.send(form.write("no", why="another form"))
+                    theirs.close()
+
+                told = asyncio.create_task(answer(other))
+            async with upgrade(old, TMPDIR=str(folder)) as new:
+                kept = [await new.up() for _ in range(6)]
+                old.process.terminate()
+                assert await client.end() == b"MOVE\r\n"
+                async with asyncio.timeout(WITHIN):
+                    assert await old.process.wait() == 0
+                kept += [await new.up() for _ in range(6)]
+                if there == "foreign":
+                    assert Path(path).read_text() == "mine"
+                if there == "other form":
+                    await told
+            if other is not None:
+                other.close()
+
+    asyncio.run(play())
+
+
+def test_a_file_that_is_no_socket_stays_and_a_stale_one_is_replaced(tmp_path: Path) -> None:
+    path = tmp_path / "meet"
+    path.write_text("mine")
+    giver = Giver(None, str(path))  # type: ignore[arg-type]
+    with pytest.raises(OSError, match="expected a socket"):
+        giver._offer()
+    assert path.read_text() == "mine"
+    path.unlink()
+    old_form(str(path)).close()
+    giver._offer()
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+        sock.connect(str(path))
+    Giver(None, str(path))._offer()  # type: ignore[arg-type]
+    giver.close()
+    assert path.exists()  # by now another's
+
+
+class Steady:
+    """Clients that come and go and speak all the time; what became of them."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.going = port, True
+        self.counts = dict.fromkeys(("up", "door", "refused", "lost", "moved", "lines", "twice"), 0)
+
+    async def one(self, number: int) -> None:
+        counts, at = self.counts, 0
+        while self.going:
+            at += 1
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"OPEN %08x%08x key c=any,t=acme,d=2000\r\n" % (number, at))
+                async with asyncio.timeout(WITHIN):
+                    told = await reader.readline()
+            except (ConnectionError, TimeoutError):
+                counts["door"] += 1
+                continue
+            if not told.startswith(b"UP "):
+                counts["door" if not told else "refused"] += 1
+                continue
+            counts["up"] += 1
+            for line in range(12):
+                text = b"M %d %d\r\n" % (at, line)
+                writer.write(text[:3])
+                await asyncio.sleep(0.002)
+                writer.write(text[3:])
+                async with asyncio.timeout(WITHIN):
+                    back = await reader.readline()
+                if back != text:
+                    counts["moved" if back == b"MOVE\r\n" else "twice" if back[:3] == b"UP " else "lost"] += 1
+                    break
+                counts["lines"] += 1
+                await asyncio.sleep(0.01)
+            writer.close()
+
+
+def test_ten_upgrades_in_a_row_under_steady_connects(tmp_path: Path) -> None:
+    async def play() -> None:
+        servers = [Server(name) for name in "abc"]
+        async with running(tmp_path, *servers, management=True, sockets=4096) as (first, _):
+            steady = Steady(first.port)
+            clients = [asyncio.create_task(steady.one(number)) for number in range(20)]
+            standing: list[Client] = [await first.up() for _ in range(20)]
+            async with contextlib.AsyncExitStack() as stack:
+                present = first
+                for _ in range(10):
+                    new = await stack.enter_async_context(upgrade(present))
+                    await gone(present)
+                    present = new
+                for client in standing:
+                    client.send(b"M 1\r\n")
+                    assert await client.line() == b"M 1\r\n"
+                steady.going = False
+                await asyncio.gather(*clients)
+                counts = steady.counts
+                assert counts["up"] > 100 and counts["lines"] > 1000
+                assert {name: counts[name] for name in ("door", "refused", "lost", "moved", "twice")} == {
+                    "door": 0,
+                    "refused": 0,
+                    "lost": 0,
+                    "moved": 0,
+                    "twice": 0,
+                }
+                assert not [each for each in os.listdir(tmp_path) if ".sock." in each]
+
+    asyncio.run(play())
+
+
+def test_a_second_upgrade_while_the_first_process_still_leaves(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a", "silent")
+        async with running(tmp_path, server, management=True) as (first, _):
+            waits = await first.open()
+            async with asyncio.timeout(WITHIN):
+                while not server.opened:
+                    await asyncio.sleep(0.01)
+            server.mode = "up"
+            client = await first.up()
+            async with upgrade(first) as second:
+                first.process.terminate()
+                await first.logged("stopping with")
+                async with upgrade(second) as third:
+                    second.process.terminate()
+                    await second.logged("stopping with")
+                    server.streams[0][1].write(b"UP a-1\r\n")
+                    assert await waits.line() == b"UP a-1\r\n"
+                    async with asyncio.timeout(WITHIN):
+                        assert await first.process.wait() == 0
+                        assert await second.process.wait() == 0
+                    client.send(b"M 1\r\n")
+                    assert await client.line() == b"M 1\r\n"
+                    assert (await third.figures())["concurrent"] >= 1
+
+    asyncio.run(play())
+
+
+def test_a_drain_of_the_old_process_moves_what_it_holds(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            async with upgrade(old) as new:
+                assert (await old.call("PUT /healthcheck/fail"))[0] == 200
+                assert await client.end() == b"MOVE\r\n"
+                assert (await new.call("GET /healthcheck"))[0] == 200
+                await new.up()
+                await gone(old)
+
+    asyncio.run(play())
+
+
+def test_the_list_of_the_old_process_is_the_new_ones(tmp_path: Path) -> None:
+    """What discovery has told holds for both: the new process starts from there and not from its file."""
+
+    async def play() -> None:
+        servers = Server("a"), Server("b")
+        async with running(tmp_path, *servers, management=True) as (old, discovery):
+            await discovery.change("b", "Terminating")
+            await old.logged("server b draining")
+            calls = discovery.calls
+            async with upgrade(old) as new:
+                assert (await new.figures())["targets_disabled"] == 1
+                for _ in range(4):
+                    await new.up()
+                assert not servers[1].opened
+                await asyncio.sleep(0.1)
+                assert discovery.asked[calls:] and discovery.asked[-1].startswith(
+                    f"index={discovery.version}&"
+                )
+                await gone(old)
+
+    asyncio.run(play())
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -57,12 +57,30 @@
 
 def test_one_that_gives_way_still_answers_ping_for_its_successor() -> None:
     life = ready()
-    life.yield_to()
+    assert life.yield_to() and not life.yield_to()
     assert life.answers_ping and not life.healthy
-    assert not life.drain()
+    assert not life.restore()
+    life.stop()
+    assert life.answers_ping and not life.healthy and not life.take_back()
+
+
+def test_a_successor_that_has_gone_leaves_everything_as_it_was() -> None:
+    life = ready()
+    life.yield_to()
+    assert life.take_back() and life.healthy
+    life.drain()
+    life.yield_to()
+    assert life.take_back() and not life.healthy and not life.answers_ping
     assert life.restore() and life.healthy
 
 
+def test_a_drain_while_giving_way_is_carried_out_once() -> None:
+    life = ready()
+    life.yield_to()
+    assert life.drain() and not life.drain()
+    assert life.answers_ping
+
+
 def test_pace_is_even_and_done_in_time() -> None:
     pace, standing, moved = Pace(1.0, 3.0), 200, []
     for step in range(300):
