--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -17,9 +17,10 @@
 from typing import Any
 
 from switchhub.decision.interface import (
-    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Event, Fail, Learnt, LoadTold,
-    Move, Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Result, RosterChanged,
-    RosterFailed, RosterKind, Scope, Server, ServerLearnt, Settings, SetTimer, State, TimerFired, WatchRoster,
+    Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Drained, Event, Fail, Learnt,
+    LoadTold, Move, Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Restored, Result,
+    RosterChanged, RosterFailed, RosterKind, Scope, Server, ServerLearnt, Settings, SetTimer, State,
+    TimerFired, WatchRoster,
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
@@ -50,7 +51,7 @@
     """What this balancer knows of one server."""
 
     __slots__ = ("aside_until", "fails", "groups", "held", "id", "limit", "limit_at", "luck", "mark",
-                 "pending", "sent", "server", "total")
+                 "part", "pending", "sent", "server", "total")
 
     def __init__(self, server: Server, luck: float) -> None:
         self.id, self.server = server.id, server
@@ -60,6 +61,7 @@
         self.total = 0  # the design's sum
         self.groups: Counter[str] = Counter()  # connections of each group held here
         self.pending = 0  # set-ups under way
+        self.part = 0.0  # after a drain: of its load, what is ours though we do not hold it
         self.fails, self.aside_until = 0, 0.0  # failed set-ups less later good ones; aside till then
         self.limit, self.limit_at = math.inf, 0.0  # what the sum may rise to, as strain told last then
         self.sent: deque[tuple[float, float]] = deque()  # while cold: when what was sent here
@@ -111,7 +113,7 @@
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
             DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
             TimerFired: lambda _event: self._out.append(WatchRoster()),
-            Learnt: self._on_learnt,
+            Learnt: self._on_learnt, Drained: self._on_drained, Restored: self._on_restored,
             ProbeAnswered: lambda _event: None,  # none is sent: told delays say the same, for nothing
         }
 
@@ -150,6 +152,17 @@
                 node.luck, node.fails, node.aside_until, node.limit, node.limit_at = each[1:6]
                 node.sent = deque(each.sent)
 
+    def _on_drained(self, _event: Drained) -> None:
+        """Our part of each server, as it is now and as it is when another balancer drains in its turn."""
+        others = max(1, self._settings.fleet_size - 1)
+        for node in self._nodes.values():
+            node.part = node.total * (others + 1) / others
+
+    def _on_restored(self, _event: Restored) -> None:
+        """Danger: what is held falls in a drain, on purpose; as a limit it refuses whom others move."""
+        for node in self._nodes.values():
+            node.limit, node.limit_at = math.inf, 0.0
+
     # Requests and the connections that they become.
 
     def _on_request(self, event: RequestArrived) -> None:
@@ -182,6 +195,8 @@
         conn.node = node
         node.held[conn.request.id] = conn
         node.total += conn.load
+        if node.total >= node.part:
+            node.part = 0.0
         if conn.group is not None:
             node.groups[conn.group] += 1
         if self._standing:
@@ -372,7 +387,7 @@
         healthy = self._healthy(conn, nodes)
         if not any(self._room(node, conn, part) for node in healthy):
             return True
-        known = [node for node in healthy if len(node.held) > node.pending]
+        known = [node for node in healthy if len(node.held) > node.pending or node.part]
         return all(self._fresh(node) for node in known) and self._rng.random() < len(known) / (len(known) + 1)
 
     def _fresh(self, node: _Node) -> bool:
@@ -404,7 +419,8 @@
             self._relieve(node)
 
     def _strained(self, node: _Node, part: float) -> None:
-        node.limit, node.limit_at = min(self._limit(node), node.total) * part, self._now
+        node.part *= part
+        node.limit, node.limit_at = max(min(self._limit(node), node.total) * part, node.part), self._now
         self._strain_at = self._now
 
     def _limit(self, node: _Node) -> float:
--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -192,6 +192,14 @@
         """What a former process of this balancer knew."""
         self._handle(now, learnt)
 
+    def drained(self, now: float) -> None:
+        """This balancer gives away what it holds, on purpose."""
+        self._handle(now, api.Drained())
+
+    def restored(self, now: float) -> None:
+        """It takes its part again."""
+        self._handle(now, api.Restored())
+
     def _worth_telling(self, now: float, server: str, delay: float) -> bool:
         """As the wire tells it: once a second while long, and once more when it no longer is."""
         told = self._told.get(server)
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -221,6 +221,14 @@
     report: Mapping[str, float]
 
 
+class Drained(NamedTuple):
+    """This balancer gives away what it holds, on purpose."""
+
+
+class Restored(NamedTuple):
+    """It takes its part again."""
+
+
 class ServerLearnt(NamedTuple):
     """What is known of one server by experience; `sent`: while it is cold, when what was sent there."""
 
@@ -256,6 +264,8 @@
     | TimerFired
     | ProbeAnswered
     | Learnt
+    | Drained
+    | Restored
 )
 
 
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -170,6 +170,7 @@
             now = self.loop.time()
             self._pace, self._forced = Pace(now + DRAIN_FROM, now + DRAIN_TO), now + DRAIN_MAX
             self.counters.add("drains")
+            self.facade.drained(self.clock())
             logger.info("draining with {} sessions", len(self.sessions))
 
     def restore(self) -> bool:
@@ -178,6 +179,7 @@
             return False
         if self._pace is not None:
             self._pace, self._forced = None, math.inf
+            self.facade.restored(self.clock())
             logger.info("back to work with {} sessions", len(self.sessions))
         return True
 
--- a/tests/test_learnt.py
+++ b/tests/test_learnt.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from switchhub.decision.interface import ConnectionAdopted, Learnt, Request, Result, RosterKind
+from switchhub.decision.interface import (
+    Attempt,
+    ConnectionAdopted,
+    Drained,
+    Learnt,
+    Refuse,
+    Request,
+    Restored,
+    Result,
+    RosterKind,
+)
 from tests.world import World, server
 
 
@@ -73,3 +83,53 @@
     other.feed(Learnt(*learnt[:4], learnt.servers))
     assert other.balancer.sums() == {"b": 0}
     assert other.stand() == "b"
+
+
+def drained_and_back(restored: bool = True) -> World:
+    """Ten connections at each of two servers, all given away while both tell of strain, and work again."""
+    world = World()
+    world.roster(server("a"), server("b"))
+    held = [world.ask() for _ in range(20)]
+    for each in held:
+        world.up(each)
+    world.feed(Drained())
+    for each in held:
+        world.strain(each, world.where(each), 30.0)
+        world.end(each, Result.CANCELLED, closed=True)
+    if restored:
+        world.feed(Restored())
+    return world
+
+
+def test_what_a_drain_left_is_no_limit() -> None:
+    """Danger: a balancer that was drained refused half of those that the next one moved off in its drain."""
+    world = drained_and_back()
+    for _ in range(20):
+        world.ask()
+        assert world.did(Attempt) and not world.did(Refuse)
+    blocked = drained_and_back(restored=False)
+    asked = [blocked.ask() for _ in range(60)]
+    assert sum(name not in blocked.attempts for name in asked) > 0
+
+
+def test_strain_told_after_a_drain_leaves_the_part_that_was_held_before() -> None:
+    world = drained_and_back()
+    one = world.ask()
+    world.up(one)
+    world.strain(one, world.where(one), 30.0)
+    placed = [world.ask() for _ in range(24)]
+    assert all(name in world.attempts for name in placed)
+
+
+def test_aims_missed_after_a_drain_cut_that_part_too() -> None:
+    world = drained_and_back()
+    one = world.ask()
+    world.up(one)
+    where = world.where(one)
+    limits = []
+    for _ in range(12):
+        world.strain(one, where, 200.0)
+        limits.append(world.balancer._nodes[where].limit)
+        world.wait(1000.0)
+    assert limits == sorted(limits, reverse=True)
+    assert limits[-1] < 0.2 * limits[0]
