--- a/switchhub/handover/channel.py
+++ b/switchhub/handover/channel.py
@@ -36,6 +36,17 @@
         self._sock = sock
         self._waiting: deque[tuple[bytes, list[socket.socket]]] = deque()
 
+    @classmethod
+    def to(cls, path: str) -> Channel:
+        """The way to whoever listens there; `OSError` if nobody does, or the platform has no such sockets."""
+        sock = new_socket()
+        try:
+            sock.connect(path)
+        except OSError:
+            sock.close()
+            raise
+        return cls(sock)
+
     def ours(self) -> bool:
         """Whether the other side is a process of the same user."""
         raw = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _CREDENTIALS.size)
--- a/switchhub/handover/taker.py
+++ b/switchhub/handover/taker.py
@@ -16,7 +16,7 @@
 from switchhub.decision.facade import Adopted, Ended
 from switchhub.decision.interface import Result
 from switchhub.handover import form
-from switchhub.handover.channel import Channel, new_socket
+from switchhub.handover.channel import Channel
 from switchhub.net.config import ConfigError, parse_address, parse_listing
 from switchhub.net.lines import LineError
 from switchhub.net.session import Session
@@ -39,14 +39,11 @@
     @classmethod
     async def find(cls, path: str, listen: tuple[str, int]) -> Taker | None:
         """The old process and its listening socket, if one is there and speaks this form."""
-        sock = new_socket()
         try:
-            sock.connect(path)
+            channel = Channel.to(path)
         except OSError as error:
-            sock.close()
             logger.debug("no process to take over from: {}", error)
             return None
-        channel = Channel(sock)
         try:
             if not channel.ours():
                 raise form.FormError("a process of another user")
--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -145,6 +145,7 @@
     one.add_argument("--rate", type=float, default=0.0, help="so many a second instead, for --seconds")
     one.add_argument("--seconds", type=float, default=10.0)
     one.add_argument("--wait-ms", type=int, default=1200)
+    one.add_argument("--silent", type=int, help="call for the figures too, beside so many silent callers")
     one.add_argument("--against", type=checkout, metavar="DIR", help="another checkout's balancer")
     one.add_argument("--json", type=new_file, metavar="FILE")
 
@@ -294,7 +295,7 @@
 def _storm(told: argparse.Namespace) -> int:
     from switchhub.lab import storm
 
-    rows = storm.run(told.clients, told.wait_ms, told.rate, told.seconds, told.against)
+    rows = storm.run(told.clients, told.wait_ms, told.rate, told.seconds, told.against, told.silent)
     write(told.json, rows)
     print(storm.table(rows))
     return 1 if any(row["late_up"] or row["reset"] or row["unanswered"] for row in rows) else 0
--- a/switchhub/lab/live/runner.py
+++ b/switchhub/lab/live/runner.py
@@ -126,6 +126,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
         self._meant: set[int] = set()  # processes that we end ourselves
+        self.environ: dict[str, str] = {}  # what balancers are told besides
 
     def now(self) -> float:
         """Seconds since the start."""
@@ -198,7 +199,7 @@
                 "-m",
                 "switchhub",
                 cwd=self.checkout,
-                env={**os.environ, "BALANCER_CONFIG": str(config)},
+                env={**os.environ, **self.environ, "BALANCER_CONFIG": str(config)},
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
--- a/switchhub/lab/perf.py
+++ b/switchhub/lab/perf.py
@@ -27,7 +27,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from switchhub.lab.live.runner import ROOT, Runner
+from switchhub.lab.live.runner import ROOT, Runner, ports
 from switchhub.lab.scenario import Scenario, parse
 
 Address = tuple[str, int]
@@ -62,8 +62,11 @@
 class Stand:
     """Servers, discovery and one real balancer, without the lab's clients."""
 
-    def __init__(self, checkout: Path, standing: int, folder: Path) -> None:
-        self.runner = Runner(_scenario(standing), 1, checkout, folder)
+    def __init__(self, checkout: Path, standing: int, folder: Path, managed: bool = False) -> None:
+        self.runner = runner = Runner(_scenario(standing), 1, checkout, folder)
+        self.management = (runner.host, ports(runner.host, 1)[0])
+        if managed:
+            runner.environ["BALANCER_MANAGEMENT"] = "{}:{}".format(*self.management)
 
     async def start(self) -> float:
         """Seconds that the balancer took from its start to its first `PONG`."""
--- a/switchhub/lab/storm.py
+++ b/switchhub/lab/storm.py
@@ -20,6 +20,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from switchhub.lab.callers import Callers
 from switchhub.lab.live.runner import ROOT
 from switchhub.lab.perf import Names, Stand, setups
 
@@ -58,11 +59,16 @@
     }
 
 
-async def _play(checkout: Path, clients: int, wait_ms: int, rate: float, folder: Path) -> dict[str, Any]:
-    stand, names = Stand(checkout, 5000, folder), Names()
+async def _play(
+    checkout: Path, clients: int, wait_ms: int, rate: float, folder: Path, silent: int | None
+) -> dict[str, Any]:
+    stand, names = Stand(checkout, 5000, folder, silent is not None), Names()
+    callers = Callers(stand.management, silent or 0) if silent is not None else None
     workers: list[asyncio.subprocess.Process] = []
     try:
         await stand.start()
+        if callers is not None:
+            callers.start()
         calm = await setups(stand.through, names, 20, 1.0)
         await asyncio.sleep(SETTLE)
         (host, port) = stand.through[0]
@@ -89,8 +95,10 @@
         sent = [each[0] for each in found if each[0]]
         sorted_out = sort_out(found, wait_ms / 1000)
         span = max(max(sent) - min(sent), wait_ms / 1000)
+        calls = callers.stop() if callers is not None else {}
         return {
             **sorted_out,
+            **calls,
             "served_per_s": round(sorted_out["served"] / span),
             "calm_rate": round(calm),
             "rate_after": round(after),
@@ -103,13 +111,19 @@
 
 
 def run(
-    sizes: list[int], wait_ms: int, rate: float, seconds: float, against: Path | None
+    sizes: list[int],
+    wait_ms: int,
+    rate: float,
+    seconds: float,
+    against: Path | None,
+    silent: int | None = None,
 ) -> list[dict[str, Any]]:
-    """One row for each storm; with a rate, one for so many seconds of it."""
+    """One row for each storm; with a rate, one for so many seconds of it. `silent`: with calls of the staff
+    beside so many callers that say nothing."""
     rows = []
     for size in [round(rate * seconds)] if rate else sizes:
         with tempfile.TemporaryDirectory(prefix="switchhub-lab-") as folder:
-            rows.append(asyncio.run(_play(against or ROOT, size, wait_ms, rate, Path(folder))))
+            rows.append(asyncio.run(_play(against or ROOT, size, wait_ms, rate, Path(folder), silent)))
     return rows
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -287,12 +287,16 @@
         return self.process.returncode
 
 
-async def started(file: Path, sockets: int = 1024, environ: dict[str, str] | None = None) -> Program:
+async def started(
+    file: Path,
+    sockets: int = 1024,
+    environ: dict[str, str] | None = None,
+    command: tuple[str, ...] = ("-m", "switchhub"),
+) -> Program:
     """The program with this configuration, once it listens."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
-        "switchhub",
+        *command,
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(file), "TMPDIR": str(file.parent), **(environ or {})},
         stderr=asyncio.subprocess.PIPE,
@@ -328,6 +332,7 @@
     sockets: int = 1024,
     fails: int = 0,
     management: bool = False,
+    command: tuple[str, ...] = ("-m", "switchhub"),
 ) -> AsyncIterator[tuple[Program, Discovery]]:
     """Servers, discovery and the program, started; ended with the block."""
     discovery = Discovery(list(servers))
@@ -349,7 +354,7 @@
         config["management"] = "127.0.0.1:0"
     file = path / "config.json"
     file.write_text(json.dumps(config))
-    program = await started(file, sockets)
+    program = await started(file, sockets, command=command)
     try:
         yield program, discovery
         await ended(program)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 
+from switchhub.management.server import CALLERS
 from tests.rig import ROOT, WITHIN, Client, Program, Server, running
 
 MANAGEMENT = "switchhub.management"
@@ -191,3 +192,46 @@
     )
     done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout == "[]\n", done.stderr
+
+
+def test_what_is_being_set_up_when_a_drain_begins_comes_up_and_is_moved(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Server("a", "silent")
+        async with running(tmp_path, server, management=True) as (program, _):
+            client = await program.open()
+            async with asyncio.timeout(WITHIN):
+                while not server.opened:
+                    await asyncio.sleep(0.01)
+            await program.call("PUT /healthcheck/fail")
+            begun = time.monotonic()
+            server.streams[0][1].write(b"UP a-1\r\n")
+            assert await client.line() == b"UP a-1\r\n"
+            assert await client.end() == b"MOVE\r\n"
+            assert time.monotonic() - begun < 4.0
+
+    asyncio.run(play())
+
+
+def test_calls_are_answered_with_every_descriptor_in_use(tmp_path: Path) -> None:
+    """Clients hold all that they may, and callers that say nothing come on top. Without descriptors set apart
+    the caller waits until some of them go."""
+
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True, sockets=160) as (program, _):
+            port = int((await program.logged("management on")).rsplit(":", 1)[1])
+            clients = [await program.client() for _ in range(200)]
+            for number, client in enumerate(clients):
+                client.send(b"OPEN %08x key c=any,t=acme,d=2000\r\n" % number)
+            silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(CALLERS)]
+            await asyncio.sleep(0.3)
+            for _ in range(5):
+                begun = time.monotonic()
+                assert (await program.call("GET /healthcheck"))[0] == 200
+                assert (await program.figures())["concurrent"] >= 10
+                assert time.monotonic() - begun < 1.0
+            for client in clients:
+                client.writer.close()
+            for _, writer in silent:
+                writer.close()
+
+    asyncio.run(play())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -473,6 +473,38 @@
     asyncio.run(play())
 
 
+def test_a_drain_of_the_new_process_is_its_own(tmp_path: Path) -> None:
+    """It holds what was passed on, so it moves that; the old one is done."""
+
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            async with upgrade(old) as new:
+                await gone(old)
+                assert (await new.call("PUT /healthcheck/fail"))[0] == 200
+                assert await client.end() == b"MOVE\r\n"
+                assert (await new.call("PUT /healthcheck/ok"))[0] == 200
+                await new.up()
+
+    asyncio.run(play())
+
+
+def test_a_new_process_beside_one_that_stops_already_starts_as_any(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            old.process.terminate()
+            await old.logged("stopping with")
+            async with upgrade(old) as new:
+                assert await client.end() == b"MOVE\r\n"
+                async with asyncio.timeout(WITHIN):
+                    assert await old.process.wait() == 0
+                kept = [await new.up() for _ in range(3)]
+                assert (await new.figures())["concurrent"] == len(kept)
+
+    asyncio.run(play())
+
+
 def test_the_list_of_the_old_process_is_the_new_ones(tmp_path: Path) -> None:
     """What discovery has told holds for both: the new process starts from there and not from its file."""
 
@@ -494,3 +526,48 @@
                 await gone(old)
 
     asyncio.run(play())
+
+
+# Where the platform refuses it.
+
+REFUSED = """
+import os, runpy, socket, sys
+
+def refuse(*_args, **_named):
+    raise OSError(38, "refused here")
+
+class Socket(socket.socket):
+    def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
+        if family == socket.AF_UNIX and fileno is None:
+            print("asked for a Unix socket", file=sys.stderr)
+            refuse()
+        super().__init__(family, type, proto, fileno)
+
+socket.socket = Socket
+os.fork = os.posix_spawn = refuse
+sys.argv = ["switchhub"]
+runpy.run_module("switchhub", run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize("management", [False, True])
+def test_it_serves_where_there_is_no_fork_and_no_unix_socket(tmp_path: Path, management: bool) -> None:
+    """And where no management address is given, it asks for none."""
+
+    async def play() -> None:
+        command = ("-c", REFUSED)
+        async with running(tmp_path, Server("a"), management=management, command=command) as (program, _):
+            client = await program.up()
+            client.send(b"M 1\r\n")
+            assert await client.line() == b"M 1\r\n"
+            if management:
+                assert (await program.call("GET /healthcheck"))[0] == 200
+                await program.logged("no hand-over")
+            assert any("Unix socket" in line for line in program.log) is management
+            program.process.terminate()
+            assert await client.end() == b"MOVE\r\n"
+            async with asyncio.timeout(WITHIN):
+                assert await program.process.wait() == 0
+        assert not [each for each in os.listdir(tmp_path) if "sock" in each]
+
+    asyncio.run(play())
