--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -46,11 +46,7 @@
 MOVE_FROM, MOVE_TO = 0.5, 0.92  # parts of the time given between which everybody is moved, evenly
 IDS_KEPT = 2048  # ids of ended connections that are remembered
 FIXED = ("name", "listen", "management", "sockets", "settings")  # what a reload leaves as it was at the start
-DRAIN_FROM, DRAIN_TO, DRAIN_MAX = (
-    0.3,
-    3.2,
-    3.7,
-)  # seconds after a drain was called: moves begin, are done, forced
+DRAIN_FROM, DRAIN_TO, DRAIN_MAX = 0.1, 3.5, 3.7  # seconds from a drain's call: moves begin, end, are forced
 LAST_ANSWERS = 0.1  # seconds in which what is still open is answered at the very end
 
 
