Callers of management that come again at once no longer eat the core

Cause: Management.run took in whoever came as fast as the loop turned, and each newcomer pushed the oldest of 32 out.

--- a/switchhub/management/server.py
+++ b/switchhub/management/server.py
@@ -8,7 +8,8 @@
 
 Danger: callers that say nothing hold a descriptor each. They get so long, and at most so many are held; over
 that the one that has been silent longest goes. Clients and servers can't use up these descriptors: they are
-set apart at the start (`ROOM`).
+set apart at the start (`ROOM`). And callers that come again as soon as they are given up would eat the core:
+so many are taken in at once, then the others have their turn; a full backlog is still done in under a second.
 """
 
 from __future__ import annotations
@@ -24,9 +25,10 @@
 from switchhub.management.calls import Answer, Managed, answer
 from switchhub.net.config import Address, ConfigError
 
-CALLERS = 32  # that are held at a time
+CALLERS = 48  # that are held at a time
+AT_ONCE, PAUSE = 32, 0.01  # callers taken in within so many seconds at most: a silent one has 15 ms at least
 ROOM = CALLERS + 8  # descriptors set apart: the callers, the listening socket, one being accepted
-BACKLOG = 1024
+BACKLOG = 512
 WITHIN = 6.0  # seconds in which a call must be whole
 READ_ON = 0.5  # seconds in which what follows the answered head is read and forgotten
 HEAD_MAX, BODY_MAX = 8192, 65536  # bytes
@@ -109,6 +111,7 @@
         self._node = node
         self._sock = bound(address)
         self._callers: dict[asyncio.Task[None], None] = {}  # the longest silent first
+        self._since, self._taken = 0.0, 0  # callers taken in since then
 
     async def run(self) -> None:
         """Answer until cancelled."""
@@ -120,6 +123,8 @@
                     sock, _ = await loop.sock_accept(self._sock)
                     while True:
                         self._take_in(sock)
+                        if (wait := self._pause(loop.time())) > 0:
+                            await asyncio.sleep(wait)
                         sock, _ = self._sock.accept()
                 except BlockingIOError:
                     pass
@@ -131,6 +136,13 @@
                 task.cancel()
             self._sock.close()
 
+    def _pause(self, now: float) -> float:
+        """Another was taken in; for how long nobody else is."""
+        if now - self._since >= PAUSE:
+            self._since, self._taken = now, 0
+        self._taken += 1
+        return self._since + PAUSE - now if self._taken >= AT_ONCE else 0.0
+
     def _take_in(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         caller = Caller(self._node)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from hypothesis import given
@@ -12,7 +13,7 @@
 from switchhub.management import server
 from switchhub.management.calls import CALLS, answer
 from switchhub.management.figures import write
-from switchhub.management.server import CALLERS, HEAD_MAX, Caller, Management
+from switchhub.management.server import AT_ONCE, CALLERS, HEAD_MAX, PAUSE, Caller, Management
 from switchhub.net.config import ConfigError
 from switchhub.net.counters import Counters
 from tests.rig import WITHIN
@@ -138,7 +139,9 @@
         silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5 * CALLERS)]
         for _, writer in silent[::2]:
             writer.write(b"GET /health")
+        begun = time.monotonic()
         told = await asyncio.gather(*(call(port, HEALTH) for _ in range(20)))
+        assert time.monotonic() - begun < 1.0
         assert all(each.startswith(b"HTTP/1.1 200 OK\r\n") for each in told)
         assert len(management._callers) <= CALLERS
         async with asyncio.timeout(WITHIN):
@@ -150,6 +153,33 @@
     asyncio.run(play())
 
 
+def test_callers_that_come_again_at_once_do_not_eat_the_core() -> None:
+    """Without the pause each of them is taken in and given up as fast as the loop can."""
+
+    async def play() -> None:
+        management = Management(Node(), ("127.0.0.1", 0))
+        running = asyncio.create_task(management.run())
+        port = port_of(management)
+        taken, take_in = 0, management._take_in
+
+        def counted(sock: socket.socket) -> None:
+            nonlocal taken
+            taken += 1
+            take_in(sock)
+
+        management._take_in = counted  # type: ignore[method-assign]
+        begun = time.monotonic()
+        callers = [await asyncio.open_connection("127.0.0.1", port) for _ in range(300)]
+        while taken < 200:
+            await asyncio.sleep(0.005)
+        assert taken <= AT_ONCE * ((time.monotonic() - begun) / PAUSE + 1)
+        for _, writer in callers:
+            writer.close()
+        running.cancel()
+
+    asyncio.run(play())
+
+
 def test_half_a_call_is_given_up_in_time_and_an_answer_survives_a_body(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
