An old process waits until all it passes on is taken; it cut off what was still queued

Need: found by reading the hand-over again: `_stop` ended once no session was left, while connections that the channel had no room for lay in Channel._waiting and were closed with the process. Evidence: a test with 500 connections and a new process that stands still for half a second; without the mend the old one exits and the rest are reset, with it all 500 go on. At fault: the loop in Listener._stop. Change: it goes on until Giver.sent(), within the stop's usual time.

--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -158,6 +158,15 @@
             logger.debug("hand-over: {}", error)
         self._told = {name: held.server for name, held in now.items()}
 
+    def sent(self) -> bool:
+        """Whether the new process's side has taken everything.
+
+        Danger: what is passed on faster than it is taken waits here, and would be cut off at the end."""
+        try:
+            return self._heir is None or self._heir.flush()
+        except OSError:
+            return True
+
     async def pass_all_on(self) -> None:
         """Part with every connection that stands, a few at a time; what comes up later goes the same way."""
         standing = [each for each in self._node.sessions.values() if each.up]
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -449,14 +449,15 @@
         starts = self.loop.time()
         ends = starts + given
         linger = max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
-        heir = self._giver is not None and self._giver.has_heir
+        heir, sent = self._giver is not None and self._giver.has_heir, True
         if self._pace is None:  # one that drains goes on as it does
             self._pace = Pace(starts + linger, starts + given * MOVE_TO)
         while (now := self.loop.time()) < ends and (
-            self.sessions or self._tasks or (now < starts + LINGER and not heir)
+            self.sessions or self._tasks or not sent or (now < starts + LINGER and not heir)
         ):
             if self._giver is not None:
                 await self._giver.pass_all_on()
+                sent = self._giver.sent()
                 if now >= starts + LINGER and not self._giver.has_heir:
                     await self._empty_queue()
             await asyncio.sleep(TICK)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -249,6 +250,32 @@
     asyncio.run(play())
 
 
+def test_a_new_process_that_is_slow_to_take_loses_nobody(tmp_path: Path) -> None:
+    """More is passed on than the channel holds: the old process waits until it is taken."""
+
+    async def play() -> None:
+        servers = [Server(name) for name in "ab"]
+        async with running(tmp_path, *servers, management=True, sockets=4096) as (old, _):
+            clients = [await old.up() for _ in range(500)]
+            async with upgrade(old) as new:
+                new.process.send_signal(signal.SIGSTOP)
+                old.process.terminate()
+                await old.logged("stopping with")
+                await asyncio.sleep(0.5)
+                assert old.process.returncode is None
+                new.process.send_signal(signal.SIGCONT)
+                async with asyncio.timeout(WITHIN):
+                    assert await old.process.wait() == 0
+                    while (await new.figures())["concurrent"] != len(clients):
+                        await asyncio.sleep(0.02)
+                for client in clients:
+                    client.send(b"M 1\r\n")
+                for client in clients:
+                    assert await client.line() == b"M 1\r\n"
+
+    asyncio.run(play())
+
+
 def test_a_new_process_that_dies_gives_the_address_back(tmp_path: Path) -> None:
     """Before the old one was told to stop; it serves on, its connections never left it."""
 
