A defect in the hand-over is logged and ends neither process nor later upgrades

Need: read again: an exception that is no FormError ended the giver's or the taker's task without a word, and with it every later upgrade. Change: both loops log it with its traceback, count `errors` and go on; the giver takes its address back as for any heir that goes. Test: seven kinds of strangers at the meeting place (garbage, words out of turn, another form, one that takes over and then talks); after each the process serves and the next upgrade passes the standing connection on.

--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -53,6 +53,7 @@
 
     async def run(self) -> None:
         """Offer, until cancelled."""
+        node = self._node
         try:
             self._offer()
         except OSError as error:
@@ -67,6 +68,9 @@
                     await self._attend(channel)
                 except (form.FormError, OSError, TimeoutError) as error:
                     logger.warning("hand-over: {}: {}", type(error).__name__, error)
+                except Exception:  # a defect of ours; the next new process is still to be heard
+                    node.counters.add("errors")
+                    logger.exception("the hand-over broke")
                 finally:
                     channel.close()
                     await self._without_heir()
--- a/switchhub/handover/taker.py
+++ b/switchhub/handover/taker.py
@@ -80,6 +80,11 @@
                     await self._next(node)
                 except form.FormError as error:
                     logger.warning("hand-over: {}", error)
+                except (KeyError, TypeError, ValueError, OSError) as error:
+                    if isinstance(error, ConnectionResetError):
+                        raise
+                    node.counters.add("errors")
+                    logger.exception("the hand-over broke")
         except ConnectionResetError:
             logger.info("the old process has ended; {} of its sessions went with it", len(self._theirs))
         finally:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -300,6 +300,39 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    "words",
+    [
+        [b"\xff"],
+        [b"{}"],
+        [form.write("take")],
+        [form.write("ask", form=7, listen=["127.0.0.1", 1])],
+        [form.write("ask", form=form.FORM, listen=None)],
+        [form.write("ask", form=form.FORM, listen=["127.0.0.1", "PORT"]), b"[]"],
+        [form.write("ask", form=form.FORM, listen=["127.0.0.1", "PORT"]), form.write("take"), b"more"],
+    ],
+)
+def test_a_stranger_at_the_meeting_place_changes_nothing(tmp_path: Path, words: list[bytes]) -> None:
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (old, _):
+            client = await old.up()
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as stranger:
+                stranger.connect(path_of(str(tmp_path), "n0"))
+                for word in words:
+                    stranger.send(word.replace(b'"PORT"', str(old.port).encode()))
+                await old.logged("hand-over: ")
+            async with asyncio.timeout(WITHIN):
+                while (await old.call("GET /healthcheck"))[0] != 200:
+                    await asyncio.sleep(0.01)
+            await old.up()
+            async with upgrade(old):
+                await gone(old)
+                client.send(b"M 1\r\n")
+                assert await client.line() == b"M 1\r\n"
+
+    asyncio.run(play())
+
+
 def test_an_old_process_killed_while_it_holds_connections_leaves_no_sums(tmp_path: Path) -> None:
     async def play() -> None:
         servers = Server("a"), Server("b")
