A new process that dies gives the meeting place back too, not only the address

Need: the whole check on a full machine failed once: a client was moved in the upgrade after one whose new process had died. Cause (the case repeated beside 24 busy loops, logs of all three): the dead process had already put its own socket at the path, so the third one was turned away there and shared the address; the old one had no heir and moved its clients. Ruled out first: the time to park a session (a loop held up for longer than it passes its connections on all the same, tried in a test that was not kept). At fault: Giver._without_heir, which took the address back and left the path. Change: it offers at the path again if it is not its own. The test now waits until the new process has taken the path; it fails without the mend.

--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -143,8 +143,21 @@
         self._heir = None
         if self._node.lifecycle.take_back():
             logger.warning("the new process has gone, {} again", self._node.condition())
+            self._offer_again()
         self._node.resume_accept()
 
+    def _offer_again(self) -> None:
+        """Danger: the new process had put its own socket at the path; dead, it turns the next one away."""
+        with contextlib.suppress(OSError):
+            if os.stat(self._path).st_ino == self._inode:
+                return
+        try:
+            if self._sock is not None:
+                self._sock.close()
+            self._offer()
+        except OSError as error:
+            logger.warning("no hand-over: {}: {}", self._path, error)
+
     def tell(self) -> None:
         """What has changed among the connections held since the last time."""
         if self._heir is None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -282,8 +282,13 @@
     async def play() -> None:
         async with running(tmp_path, Server("a"), management=True) as (old, _):
             client = await old.up()
+            path = path_of(str(tmp_path), "n0")
+            before = os.stat(path).st_ino
             new = await beside(old)
             await old.logged("giving way")
+            async with asyncio.timeout(WITHIN):
+                while os.stat(path).st_ino == before:  # until the new one has taken the meeting place too
+                    await asyncio.sleep(0.01)
             new.process.kill()
             await new.process.wait()
             await old.logged("the new process has gone, ready again")
