--- a/switchhub/handover/taker.py
+++ b/switchhub/handover/taker.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from switchhub.net.listener import Listener
 
-ANSWER_WITHIN = 1.5  # seconds in which an old process answers; else it is taken as none
+ANSWER_WITHIN = 2.0  # seconds in which an old process answers; else it is taken as none
 
 
 class Taker:
--- a/switchhub/lifecycle/phase.py
+++ b/switchhub/lifecycle/phase.py
@@ -40,8 +40,9 @@
 
     @property
     def answers_ping(self) -> bool:
-        """Whether the address may be sent new clients."""
-        return self.phase is Phase.READY or self._yielded
+        """Whether the address may be sent new clients. One that stops goes on taking them for a moment, as
+        fronts do not ask it any more; a no is for drains."""
+        return self._yielded or (self._begun and not self._drained)
 
     @property
     def leaving(self) -> bool:
