A process that took over no longer stands still while the next version asks

Seen: the check of the whole tree failed on the ten upgrades in a row: 20 clients refused.

Two causes, told apart by what the refused were told (a probe that prints it beside the logs of all processes): - ERR, 'this id is taken': the steady client 0 counts through the ids that the rig's own clients have open. A probe of four lines: a socket made from a received descriptor counts as one that waits, and its dup() writes that into the flags, which are one for all processes that share it.

At fault: Channel.receive left received sockets in Python's waiting mode; Giver's listening_copy() then made the shared listening socket wait, and Listener._accept stood in accept() until somebody came. Only a process that had itself taken over was struck, so one upgrade never showed it.

Change: received sockets are set not to wait where they are received. The steady clients have ids of their own.

--- a/switchhub/handover/channel.py
+++ b/switchhub/handover/channel.py
@@ -78,7 +78,10 @@
         return True
 
     async def receive(self) -> tuple[bytes, list[socket.socket]] | None:
-        """The next message, or nothing at the end."""
+        """The next message, or nothing at the end. Sockets that came with it do not wait.
+
+        Danger: Python takes a received socket for one that waits, and `dup` writes that into the flags which
+        every process with this socket shares: they would all stand still in `accept` until a client comes."""
         while True:
             try:
                 data, numbers, flags, _ = socket.recv_fds(self._sock, MESSAGE_MAX, SOCKETS_MAX)
@@ -88,6 +91,8 @@
             except OSError:
                 return None
             sockets = [socket.socket(fileno=number) for number in numbers]
+            for each in sockets:
+                each.setblocking(False)
             if not data or flags & socket.MSG_TRUNC:
                 for each in sockets:
                     each.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,6 +18,7 @@
 
 from switchhub.decision.interface import Learnt, ServerLearnt
 from switchhub.handover import form
+from switchhub.handover.channel import Channel
 from switchhub.handover.giver import Giver, path_of
 from tests.rig import WITHIN, Client, Program, Server, ended, running, started
 
@@ -427,7 +428,10 @@
 
 
 class Steady:
-    """Clients that come and go and speak all the time; what became of them."""
+    """Clients that come and go and speak all the time; what became of them.
+
+    Their ids have a first half of their own, 1 and up: the rig's are 0 there. An id that another connection
+    has open is told `ERR`, rightly, and would count as refused here."""
 
     def __init__(self, port: int) -> None:
         self.port, self.going = port, True
@@ -439,7 +443,7 @@
             at += 1
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(b"OPEN %08x%08x key c=any,t=acme,d=2000\r\n" % (number, at))
+                writer.write(b"OPEN %08x%08x key c=any,t=acme,d=2000\r\n" % (number + 1, at))
                 async with asyncio.timeout(WITHIN):
                     told = await reader.readline()
             except (ConnectionError, TimeoutError):
@@ -524,6 +528,50 @@
     asyncio.run(play())
 
 
+def test_a_process_that_took_over_goes_on_while_the_next_one_asks(tmp_path: Path) -> None:
+    """Danger: a descriptor's flags are one for all processes that share it. Where one of them makes the
+    listening socket wait, this one stands still from the next client until the one after that."""
+
+    async def play() -> None:
+        async with running(tmp_path, Server("a"), management=True) as (first, _):
+            client = await first.up()
+            async with upgrade(first) as second:
+                await gone(first)
+                asks = Channel.to(path_of(str(tmp_path), "n0"))
+                asks.send(form.write("ask", form=form.FORM, listen=["127.0.0.1", second.port]))
+                received = await asks.receive()
+                assert received is not None and len(received[1]) == 1
+                await second.up()
+                client.send(b"M 1\r\n")
+                assert await client.line() == b"M 1\r\n"
+                received[1][0].close()
+                asks.close()
+
+    asyncio.run(play())
+
+
+def test_a_socket_that_travels_does_not_wait_on_either_side(tmp_path: Path) -> None:
+    async def play() -> None:
+        ways = [Channel(each) for each in socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)]
+        listening = socket.socket()
+        listening.setblocking(False)
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        ways[0].send(b"x", listening.dup())
+        received = await ways[1].receive()
+        assert received is not None
+        taken = received[1][0]
+        again = taken.dup()  # as it goes to the process after that
+        for each in listening, taken, again:
+            with pytest.raises(BlockingIOError):
+                each.accept()
+            each.close()
+        for way in ways:
+            way.close()
+
+    asyncio.run(play())
+
+
 def test_a_drain_of_the_old_process_moves_what_it_holds(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(tmp_path, Server("a"), management=True) as (old, _):
