After a release new servers are filled to their part, compared with old ones as two wholes

A balancer holds ten connections on sixty servers; all empty sums tie, at the 24 old servers that carry the fleet as at the 36 new ones.

Lines at fault: none is wrong; _place's exceptions know a new server as a danger only (rule 4), never as room.

Change: _renewed. Where candidates are old and new ones, our load on all old ones is compared with that on all new ones, each new one counted with its least present power. Eight connections tell that, where sixty sums do not. Rule 4 stands before it as it did.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -107,7 +107,8 @@
         self._thin_pace = MOVE_SPEND / max(settings.move_price, MOVE_SPEND / THIN_PACE)
         self._move_credit, self._move_at = math.inf, 0.0  # moves that may go, as counted then
         self._exceptions = (
-            self._healthy, self._untried, self._within, self._gathered, self._known, self._near)
+            self._healthy, self._untried, self._within, self._gathered, self._known, self._renewed,
+            self._near)
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
@@ -368,6 +369,20 @@
         return [node for node in nodes
                 if len(node.held) > node.pending or node.limit != math.inf or node.server.born]
 
+    def _renewed(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+        """Danger: most sums of a thin balancer are nothing, at old servers that carry what left with others
+        and at new ones that carry little. Compared as two wholes, even a handful of connections tells."""
+        new = [node for node in nodes if node.server.born]
+        if not new or len(new) == len(nodes):
+            return nodes
+        old_load = new_load = old_power = new_power = 0.0
+        for node in self._ready:
+            if node.server.born:
+                new_load, new_power = new_load + node.total, new_power + self._power(node)
+            else:
+                old_load, old_power = old_load + node.total, old_power + 1.0
+        return new if new_load * old_power <= old_load * new_power else nodes
+
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
         sums = self._sums(conn, nodes)
@@ -485,8 +500,7 @@
         used for less than it can do, it leaves a fleet of which most is new to the few that are warm."""
         settings, sent, push = self._settings, node.sent, self._push(conn)
         peer = peers.get(node.server.kind, peers.get(None, self._mean_hint))
-        ramp = (self._cold_age(node) or 0.0) / settings.cold_time
-        share = settings.cold_share + (1 - settings.cold_share) * ramp  # of its power: the least it has now
+        share = self._power(node)
         if node.total + conn.load > peer * share + node.luck * conn.load:
             return False
         while sent and sent[0][0] <= self._now - settings.fall_time:
@@ -494,6 +508,11 @@
         budget = settings.fall_multiple * share * peer * settings.fall_time / settings.cold_time
         return sum([each for _, each in sent]) + push <= budget + node.luck * push
 
+    def _power(self, node: _Node) -> float:
+        """The least part of its power that a server has now."""
+        age, cold = self._cold_age(node), self._settings.cold_share
+        return 1.0 if age is None else cold + (1 - cold) * age / self._settings.cold_time
+
     def _push(self, conn: _Conn) -> float:
         """What a set-up counts for in the cold budget: small hints often err, and only they would fit."""
         return max(conn.load, self._mean_hint)
