A cold server gets no more than its part: new servers' part rounded by lot, test restored

At fault: _renewed narrowed to the new ones while they held no more than their part, so each balancer rounded a part of 0.1 connections up to one. design.md says that each part of a sum is rounded by lot; this one was not. Ruled out: _fits_cold, unchanged; its budget had been left unused by chance, not by rule.

Change: the part is compared with the new connection in it, plus the balancer's lot of it; the lot comes from the seed in a stream of its own, so no other lot moves. The sums are taken as plain sums. The test of a cold server's part passed without _renewed too; it is written anew and fails when a cold server counts as a whole one.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -90,6 +90,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._rng = Random(seed)
+        self._lot = Random(f"new servers {seed}").random()  # rounds our part of them to whole connections
         self._now = 0.0
         self._out: list[Action] = []
         self._nodes: dict[str, _Node] = {}
@@ -369,19 +370,18 @@
         return [node for node in nodes
                 if len(node.held) > node.pending or node.limit != math.inf or node.server.born]
 
-    def _renewed(self, _conn: _Conn, nodes: list[_Node]) -> list[_Node]:
+    def _renewed(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: most sums of a thin balancer are nothing, at old servers that carry what left with others
-        and at new ones that carry little. Compared as two wholes, even a handful of connections tells."""
+        and at new ones that carry little. Compared as two wholes, even a handful of connections tells. And
+        rounded up to a connection by each balancer, the part of one cold server is that of twenty."""
         new = [node for node in nodes if node.server.born]
         if not new or len(new) == len(nodes):
             return nodes
-        old_load = new_load = old_power = new_power = 0.0
-        for node in self._ready:
-            if node.server.born:
-                new_load, new_power = new_load + node.total, new_power + self._power(node)
-            else:
-                old_load, old_power = old_load + node.total, old_power + 1.0
-        return new if new_load * old_power <= old_load * new_power else nodes
+        fresh = [node for node in self._ready if node.server.born]
+        held, power = sum([node.total for node in fresh]), sum([self._power(node) for node in fresh])
+        whole = sum([node.total for node in self._ready]) + conn.load
+        part = whole * power / (power + len(self._ready) - len(fresh))
+        return new if held + conn.load <= part + self._lot * conn.load else nodes
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -78,9 +78,9 @@
             world.wait(100.0)
             world.ask()
             sent += sum(action.server == "new" for action in world.did(Attempt))
-    peer = FLEET * (8 + 6) / 79  # connections that a warm server comes to hold
+    peer = FLEET * 8 / 79  # connections that a warm server holds
     allowed = 2.5 * 0.56 * peer * 2000.0 / 8000.0  # multiple x capacity now x window / warm-up
-    assert 0 < sent <= 1.3 * allowed  # by lot
+    assert 0 < sent <= allowed
 
 
 def test_a_fleet_of_which_most_is_new_uses_what_the_new_can_do_and_pushes_none_over() -> None:
@@ -125,19 +125,19 @@
 
 
 def test_new_servers_get_no_more_than_their_part() -> None:
-    assert held_at_the_new(40, each_holds=8, old=24, new=36, asks=40) < 0.78  # 0.6 of 48, by lot, of 40
+    assert held_at_the_new(40, each_holds=8, old=24, new=36, asks=40) < 0.75  # 0.6 of 48 is 0.72 of 40
 
 
 def test_a_cold_server_counts_as_a_part_of_one() -> None:
-    """With what the cold can do already held by them, the old get the rest."""
+    """Its kind carries enough here for rule 4 to let more in; of all that we hold it has its part already."""
     world = World(make_settings(zone=9), now=20_000.0)
-    world.roster(server("old"), server("cold", born=world.now - 4000.0))
-    for _ in range(10):
-        world.adopt("old")
-    for _ in range(6):
-        world.adopt("cold")  # 0.65 of its power by now, at the least
-    world.adopt("cold", 600.0)
-    assert world.stand(100.0) == "old"
+    fast, cold = server("fast")._replace(kind=1), server("cold", born=world.now - 4000.0)._replace(kind=1)
+    world.roster(server("idle"), fast, cold)
+    for _ in range(8):
+        world.adopt("fast")
+    for _ in range(3):
+        world.adopt("cold")  # 0.65 of its power by now, at the least, and so 0.245 of the three
+    assert world.stand(100.0) == "idle"
 
 
 def test_a_new_server_is_measured_by_warm_ones_of_its_kind() -> None:
