New servers are listed when the list changes, not again at each placement

Need: _renewed looked through all candidates and all ready servers for new ones at each placement, also where none is new, and asked the age of each. _cold was listed at each change of the list already; what is new can be found there once.

Change: _new beside _cold, both made in _on_roster; the power that new servers lack is summed over the cold ones alone. No line of a test changed.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -94,7 +94,8 @@
         self._now = 0.0
         self._out: list[Action] = []
         self._nodes: dict[str, _Node] = {}
-        self._ready: list[_Node] = []  # those that may be sent to, and of these the cold
+        self._ready: list[_Node] = []  # those that may be sent to, of these the new, and of these the cold
+        self._new: list[_Node] = []
         self._cold: list[_Node] = []
         self._conns: dict[str, _Conn] = {}
         self._standing = [0] * len(settings.tenants)  # connections of each tenant
@@ -374,14 +375,15 @@
         """Danger: most sums of a thin balancer are nothing, at old servers that carry what left with others
         and at new ones that carry little. Compared as two wholes, even a handful of connections tells. And
         rounded up to a connection by each balancer, the part of one cold server is that of twenty."""
-        new = [node for node in nodes if node.server.born]
-        if not new or len(new) == len(nodes):
+        if not self._new or len(self._new) == len(self._ready):
             return nodes
-        fresh = [node for node in self._ready if node.server.born]
-        held, power = sum([node.total for node in fresh]), sum([self._power(node) for node in fresh])
+        held = sum([node.total for node in self._new])
+        missing = sum([1.0 - self._power(node) for node in self._cold])
         whole = sum([node.total for node in self._ready]) + conn.load
-        part = whole * power / (power + len(self._ready) - len(fresh))
-        return new if held + conn.load <= part + self._lot * conn.load else nodes
+        part = whole * (len(self._new) - missing) / (len(self._ready) - missing)
+        if held + conn.load > part + self._lot * conn.load:
+            return nodes
+        return [node for node in nodes if node.server.born]
 
     def _near(self, conn: _Conn, nodes: list[_Node]) -> list[_Node]:
         """Danger: crossing costs on each message, and sums closer than their own noise tell nothing apart."""
@@ -536,7 +538,8 @@
         self._nodes = {node.id: node for node in self._nodes.values()
                        if node.server.state is not State.GONE or node.held}
         self._ready = [node for node in self._nodes.values() if node.server.state is State.READY]
-        self._cold = [node for node in self._ready if self._cold_age(node) is not None]
+        self._new = [node for node in self._ready if node.server.born]
+        self._cold = [node for node in self._new if self._cold_age(node) is not None]
         leaving = [conn for node in self._nodes.values() if node.server.state is State.DRAINING
                    for conn in node.held.values() if conn.up and not conn.moving]
         for conn in leaving:  # Danger: what still stands on a server when it goes is cut off, all at once
