--- /dev/null
+++ b/switchhub/lab/explorer.py
@@ -0,0 +1,80 @@
+"""Every order of events of a small system: breadth first, so that what is found is found in the fewest steps.
+
+Owns: the states met and the way to each. Must never: know what is explored, or call a search whole that met
+its bound.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+from typing import NamedTuple, Protocol, TypeVar
+
+
+class State(Protocol):
+    """One state of the system."""
+
+    def key(self) -> Hashable:
+        """Equal for states that can't be told apart by anything that may still come."""
+        ...
+
+    def fault(self) -> str | None:
+        """What is wrong with it, if anything."""
+        ...
+
+
+Any_ = TypeVar("Any_", bound=State)
+
+
+class System(Protocol[Any_]):
+    """What may happen."""
+
+    def first(self) -> Iterable[tuple[str, Any_]]:
+        """Where it may begin."""
+        ...
+
+    def after(self, state: Any_) -> Iterable[tuple[str, Any_]]:
+        """What may come next, each by a name."""
+        ...
+
+
+class Found(NamedTuple):
+    """What a search has found."""
+
+    states: int
+    depth: int
+    whole: bool  # no state was left out
+    fault: str | None
+    way: tuple[str, ...]  # events from the beginning to the fault
+
+
+def explore(system: System[Any_], most: int, deep: int) -> Found:
+    """Search until a fault, the end, or a bound: so many states, so many steps."""
+    ways: dict[Hashable, tuple[Hashable, str]] = {}
+    layer: list[Any_] = []
+    depth = 0
+
+    def way(key: Hashable) -> tuple[str, ...]:
+        names: list[str] = []
+        while key in ways:
+            key, name = ways[key]
+            if name:
+                names.append(name)
+        return tuple(reversed(names))
+
+    todo: list[tuple[Hashable, str, Any_]] = [(None, name, state) for name, state in system.first()]
+    while todo:
+        layer = []
+        for before, name, state in todo:
+            key = state.key()
+            if key in ways:
+                continue
+            ways[key] = before, name
+            fault = state.fault()
+            if fault is not None:
+                return Found(len(ways), depth, False, fault, way(key))
+            layer.append(state)
+        if depth == deep or len(ways) > most:
+            return Found(len(ways), depth, not layer, None, ())
+        todo = [(each.key(), name, state) for each in layer for name, state in system.after(each)]
+        depth += 1
+    return Found(len(ways), depth, True, None, ())
