Two processes of one balancer hand the right to accept on when its holder stalls

Need: a new process that was stopped after it had taken over took every client with it, a stopped old one about half.

A process of the form before this one is met as before: no generation, no beat.

--- a/switchhub/handover/channel.py
+++ b/switchhub/handover/channel.py
@@ -52,6 +52,28 @@
         raw = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _CREDENTIALS.size)
         return bool(_CREDENTIALS.unpack(raw)[1] == os.getuid())
 
+    def pid(self) -> int:
+        """The other side's process, or the one that listens there while nobody has answered; 0: not ours to
+        see."""
+        raw = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _CREDENTIALS.size)
+        return int(_CREDENTIALS.unpack(raw)[0])
+
+    def unread(self) -> bool:
+        """Whether something lies here that was not received, be it the end."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def copy(self) -> socket.socket:
+        """Another hold on it, for a thread that sends whole messages beside this one."""
+        sock = self._sock.dup()
+        sock.setblocking(False)
+        return sock
+
     def send(self, message: bytes, *sockets: socket.socket) -> None:
         """Send it now, or when `flush` finds room. The sockets are the channel's from here on."""
         self._waiting.append((message, list(sockets)))
--- a/switchhub/handover/form.py
+++ b/switchhub/handover/form.py
@@ -2,9 +2,13 @@
 
 Owns: the form and its number. Must never: do I/O, or trust what it reads: the other side may be any version.
 
-    new -> old   ask (form, listen), take
-    old -> new   listener, or no (why); known (discovery, list), held (connections), yours (what was learnt);
-                 then, as things change, held, ended (ids), pass (one connection)
+    new -> old   ask (form, listen), take (which queue, generation), got (a connection that was passed)
+    old -> new   listener (generation), or no (why); known (discovery, list), held (connections), yours (what
+                 was learnt); then, as things change, pass (one connection)
+                 join (form, listen, born) comes first from an old one that has lost its newer process
+    both         held, ended (ids), as things change; right, beat (`right.py`)
+
+One that speaks the form without the right says no generation and no queue; then it is as it was without.
 
 Sockets travel beside a message: the listening one with `listener`, a client's and its server's with `pass`.
 Names stand for classes, tenants, zones and kinds: an index means something to one process only.
@@ -71,6 +75,13 @@
     return kind, values
 
 
+def number(value: Any) -> int:
+    """A whole number that is not negative."""
+    if not isinstance(value, int) or value < 0:
+        raise FormError(f"no number: {value!r}")
+    return value
+
+
 def write_held(connections: Iterable[Held]) -> list[bytes]:
     """As many messages as it takes."""
     rows = [list(each) for each in connections]
--- a/switchhub/handover/taker.py
+++ b/switchhub/handover/taker.py
@@ -1,40 +1,44 @@
-"""The new process's side: takes over the clients' address, counts what the old process holds, goes on with
-what that passes on.
+"""The newer process's side: finds the older one, gets the clients' address from it, or from where it lies.
 
-Owns: the channel to the old process, the connections counted here that still are the old one's. Must never:
-end because of anything that the other side says or leaves out: without it, it is a process that starts.
+Owns: the way to the older process until the pair stands. Must never: end because of anything that the other
+side says or leaves out: without it, it is a process that starts.
+
+Danger: an older process that was stopped answers nobody, and clients wait in its queue. Its listening socket
+is copied from it then (`steal.py`), or the address is bound again and the kernel's choice led here.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
-from typing import TYPE_CHECKING, Any
+import time
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
-from switchhub.decision.facade import Adopted, Ended
-from switchhub.decision.interface import Result
-from switchhub.handover import form
+from switchhub.handover import form, steal
 from switchhub.handover.channel import Channel
-from switchhub.net.config import ConfigError, parse_address, parse_listing
-from switchhub.net.lines import LineError
-from switchhub.net.session import Session
+from switchhub.handover.link import TURN, Link
+from switchhub.handover.right import SILENT
 
 if TYPE_CHECKING:
     from switchhub.net.listener import Listener
 
-ANSWER_WITHIN = 2.0  # seconds in which an old process answers; else it is taken as none
+ANSWER_WITHIN = (
+    2.0  # seconds in which an old process that can't be passed over answers; else it is taken as none
+)
 
 
 class Taker:
     """What this process takes over from the one before it."""
 
-    def __init__(self, channel: Channel, sock: socket.socket) -> None:
-        self._channel = channel
-        self.sock = sock
-        self._theirs: dict[str, form.Held] = {}  # counted here, still served there
-        self._to_move: set[str] = set()  # of these: the module wants them moved
+    def __init__(
+        self, channel: Channel, sock: socket.socket | None, beats: bool, generation: int, asked: bool
+    ) -> None:
+        self._channel, self._beats, self._generation, self._asked = channel, beats, generation, asked
+        self.sock = sock  # the clients' address; none: it is to be bound, and the other has its own
+        self._link: Link | None = None
 
     @classmethod
     async def find(cls, path: str, listen: tuple[str, int]) -> Taker | None:
@@ -48,123 +52,65 @@
             if not channel.ours():
                 raise form.FormError("a process of another user")
             channel.send(form.write("ask", form=form.FORM, listen=list(listen)))
-            async with asyncio.timeout(ANSWER_WITHIN):
-                received = await channel.receive()
+            hearing = asyncio.create_task(channel.receive())
+            await asyncio.wait((hearing,), timeout=SILENT)
+            if not hearing.done() and (sock := steal.listening(channel.pid(), listen)) is not None:
+                hearing.cancel()
+                logger.warning("the old process is silent: its clients' address is taken from it")
+                return cls(channel, sock, True, 0, False)
+            await asyncio.wait((hearing,), timeout=ANSWER_WITHIN - SILENT)
+            if not hearing.done():
+                hearing.cancel()
+                logger.warning("the old process is silent: its address is bound beside it")
+                return cls(channel, None, True, 0, False)
+            received = hearing.result()
             if received is None:
                 raise form.FormError("no answer")
             (kind, values), sockets = form.read(received[0]), received[1]
             if kind != "listener" or len(sockets) != 1:
                 raise form.FormError(f"{kind} {values}")
-        except (form.FormError, OSError, TimeoutError) as error:
+        except (form.FormError, OSError) as error:
             logger.warning("no hand-over: {}: {}", type(error).__name__, error)
             channel.close()
             return None
-        return cls(channel, sockets[0])
+        generation = values.get("generation")
+        return cls(channel, sockets[0], generation is not None, form.number(generation or 0), True)
 
     async def take(self, node: Listener) -> None:
-        """Take over: the old process accepts nobody from here on, and this one knows what it knew."""
-        try:
-            self._channel.send(form.write("take"))
-            async with asyncio.timeout(ANSWER_WITHIN):
-                while await self._next(node) != "yours":
-                    pass
-        except (form.FormError, OSError, TimeoutError) as error:
-            logger.warning("hand-over: {}: {}", type(error).__name__, error)
-        logger.info("taken over with {} sessions of the old process", len(self._theirs))
-
-    async def run(self, node: Listener) -> None:
-        """Follow the old process to its end."""
+        """Take over. Where the old process can be asked, wait until this one knows what it knew."""
+        link = self._link = Link(
+            node, self._channel, newer=True, beats=self._beats, common=self.sock is not None
+        )
+        link.take(self._generation)
+        following = asyncio.create_task(self._follow(link))
+        if not self._asked:
+            self._take_nothing_for_granted(node)
+        until = time.monotonic() + (ANSWER_WITHIN if self._asked else 0.0)
+        while not (link.known.is_set() or following.done()) and (now := time.monotonic()) < until:
+            if link.side is not None and link.side.watch.stalled(now):
+                logger.warning("the old process is silent: taken over without what it knows")
+                self._take_nothing_for_granted(node)
+                break
+            await asyncio.sleep(TURN)
+        self._following = following
+        logger.info("taken over with {} sessions of the old process", link.elsewhere)
+
+    def _take_nothing_for_granted(self, node: Listener) -> None:
+        """Danger: what the old process sent to a cold server is unknown, and both together push it over: all
+        of its budget counts as spent now."""
+        learnt, now = node.facade.learnt(), node.clock()
+        servers = tuple(each._replace(sent=((now, math.inf),)) for each in learnt.servers)
+        node.facade.learn(now, learnt._replace(servers=servers))
+
+    async def _follow(self, link: Link) -> None:
         try:
-            while True:
-                try:
-                    await self._next(node)
-                except form.FormError as error:
-                    logger.warning("hand-over: {}", error)
-                except (KeyError, TypeError, ValueError, OSError) as error:
-                    if isinstance(error, ConnectionResetError):
-                        raise
-                    node.counters.add("errors")
-                    logger.exception("the hand-over broke")
+            await link.follow()
         except ConnectionResetError:
-            logger.info("the old process has ended; {} of its sessions went with it", len(self._theirs))
-        finally:
-            self._channel.close()
-            self._end(node, list(self._theirs))
-
-    async def _next(self, node: Listener) -> str:
-        received = await self._channel.receive()
-        if received is None:
-            raise ConnectionResetError("the old process has gone")
-        data, sockets = received
-        try:
-            kind, values = form.read(data)
-            if kind == "known":
-                self._know(node, values)
-            elif kind == "yours":
-                node.facade.learn(node.clock(), form.read_learnt(values.get("learnt")))
-            elif kind == "held":
-                for held in form.read_held(values):
-                    self._count(node, held)
-            elif kind == "ended":
-                self._end(node, [str(each) for each in values.get("ids", ())])
-            elif kind == "pass" and len(sockets) == 2:
-                self._go_on(node, form.read_passed(values), sockets.pop(0), sockets.pop(0))
-            return kind
-        finally:
-            node.sockets.share(2 * len(self._theirs))
-            for sock in sockets:
-                sock.close()
+            logger.info("the old process has ended; {} of its sessions went with it", link.lost)
 
-    def _know(self, node: Listener, values: dict[str, Any]) -> None:
-        try:
-            listing = parse_listing(values["listing"], node.config.zones, node.config.kinds)
-            node.discovery.inherit(parse_address(values["discovery"]), listing)
-        except (AttributeError, ConfigError, KeyError, TypeError) as error:
-            raise form.FormError(f"known: {type(error).__name__}: {error}") from None
-
-    def _count(self, node: Listener, held: form.Held) -> None:
-        """Danger: rule 1 wants its id taken, rules 3 and 4 and the sums want it counted where it is."""
-        if held.id in node.sessions:
-            return
-        if held.id in self._theirs:
-            self._end(node, [held.id])
-        self._theirs[held.id] = held
-        node.ids.take(held.id)
-        request = form.request_of(held, node.config.classes, node.config.tenants)
-        node.facade.report(node.clock(), Adopted(request, held.server))
-
-    def _end(self, node: Listener, names: list[str]) -> None:
-        for name in names:
-            if self._theirs.pop(name, None) is not None:
-                self._to_move.discard(name)
-                node.ids.end(name)
-                node.facade.report(node.clock(), Ended(name, 0.0, Result.CANCELLED, True))
-
-    def _go_on(
-        self, node: Listener, passed: form.Passed, client: socket.socket, server: socket.socket
-    ) -> None:
-        held = passed.held
-        if self._theirs.get(held.id) != held:
-            self._end(node, [held.id])
-            self._count(node, held)
-        del self._theirs[held.id]
-        if held.id in self._to_move:
-            self._to_move.discard(held.id)
-            passed = passed._replace(move=True)
-        request = form.request_of(held, node.config.classes, node.config.tenants)
+    async def run(self) -> None:
+        """Follow the old process to its end."""
         try:
-            wires = (
-                node.sockets.passed_on(client, passed.from_client),
-                node.sockets.passed_on(server, passed.from_server),
-            )
-        except LineError as error:
-            raise form.FormError(f"pass: {error}") from None
-        node.go_on(Session.passed(node, passed, *wires, request))
-
-    def move(self, name: str) -> bool:
-        """The module wants a connection moved; whether it is one of the old process, then as soon as it is
-        here."""
-        if name not in self._theirs:
-            return False
-        self._to_move.add(name)
-        return True
+            await self._following
+        finally:
+            self._following.cancel()
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -97,6 +97,11 @@
         ]
         return self._at, {"version": self._version or 0, "full": True, "servers": servers}
 
+    @property
+    def version(self) -> int:
+        """Of the list as it stands; 0: of none."""
+        return self._version or 0
+
     def inherit(self, address: Address, listing: Listing) -> bool:
         """Begin with the list of a former process, if that watched the same discovery."""
         if address != self._at:
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -23,7 +23,7 @@
 from switchhub.admission.gate import Gate
 from switchhub.decision.facade import Facade, Send
 from switchhub.lifecycle.pace import Pace
-from switchhub.lifecycle.phase import Lifecycle
+from switchhub.lifecycle.phase import Lifecycle, Phase
 from switchhub.net.config import Address, Config, ConfigError, read_config
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
@@ -33,11 +33,13 @@
 
 if TYPE_CHECKING:
     from switchhub.handover.giver import Giver
+    from switchhub.handover.link import Link
     from switchhub.handover.taker import Taker
     from switchhub.management.server import Management
 
 BACKLOG = 4096
 AT_ONCE, AT_NEED = 64, 256  # connections taken in before those that stand have their turn; while it is behind
+TURN = 0.002  # seconds after which one that may not accept yet looks again
 TICK = 0.02  # seconds between two looks at the module's chores
 CHECK = 0.1  # seconds between two looks at silent connections
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
@@ -89,6 +91,7 @@
         self._management: Management | None = None
         self._taker = taker
         self._giver: Giver | None = None
+        self.links: list[Link] = []  # the pairs with other processes of this balancer
         room = 0
         if config.management is not None:  # not imported where it is not wanted
             from switchhub.handover import giver
@@ -107,9 +110,12 @@
         self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
-        self.sock = self._bound() if taker is None else taker.sock
+        shared = None if taker is None else taker.sock
+        self.sock = self._bound() if shared is None else shared
+        self.serving = False  # it listens, and its loops run
         self.waits = False  # for a client to accept
         self._accept_task: asyncio.Task[None] | None = None
+        self._closed = False  # the clients' address is not this process's any more
         self._accepting = asyncio.Event()
         self._accepting.set()
 
@@ -201,16 +207,19 @@
             await self._taker.take(self)
         self._chores()
         self.sock.listen(BACKLOG)
+        if self._taker is not None and self._taker.sock is None:
+            from switchhub.handover.steal import steer
+
+            steer(self.sock)
         logger.info("{} listens on {}:{}", self.config.name, *self.address())
         duties = [self._take_in_all(), self._keep_house(), self.discovery.run()]
         if self._management is not None:
             duties.append(self._management.run())
         aside = [
-            each
-            for each in (self._taker and self._taker.run(self), self._giver and self._giver.run())
-            if each
+            each for each in (self._taker and self._taker.run(), self._giver and self._giver.run()) if each
         ]
         self.lifecycle.begin()
+        self.serving = True
         loops = [asyncio.create_task(each) for each in duties]
         others = [asyncio.create_task(each) for each in aside]  # these may end by themselves
         stopping = asyncio.create_task(self._stopping.wait())
@@ -244,15 +253,71 @@
         if await parked(self) and self._accept_task is not None:
             self._accept_task.cancel()
 
-    def resume_accept(self) -> None:
-        """Accept again."""
-        self._accepting.set()
+    # The pairs with other processes of this balancer (`handover.link`).
+
+    def join(self, link: Link) -> None:
+        """Another process of this balancer, that is older or newer."""
+        self.links.append(link)
+
+    def part(self, link: Link) -> None:
+        """It has gone."""
+        if link in self.links:
+            self.links.remove(link)
+            self.settle()
+
+    @property
+    def accepts(self) -> bool:
+        """Whether the right to accept is this process's, as far as each pair goes."""
+        return all(each.accepts for each in self.links)
+
+    def settle(self) -> None:
+        """What this process is and whether it accepts, as the pairs have it: here and nowhere else."""
+        gave_way = any(each.gave_way for each in self.links)
+        if gave_way and self.lifecycle.phase in (Phase.READY, Phase.DRAINING):
+            self.lifecycle.yield_to()
+        elif not gave_way and self.lifecycle.phase is Phase.GIVING_WAY:
+            self.lifecycle.take_back()
+            logger.warning("no new process serves, {} again", self.condition())
+        if self._closed or self.accepts is self._accepting.is_set():
+            return
+        if self.accepts:
+            self._accepting.set()
+        else:
+            self._accepting.clear()
+            self._start(self.pause_accept())
+
+    def share_sockets(self) -> None:
+        """The limit on descriptors is one for all processes of a balancer."""
+        self.sockets.share(2 * sum(each.elsewhere for each in self.links))
+
+    def queue(self) -> int:
+        """Which accept queue this process has: the same number in each process that shares it."""
+        return os.fstat(self.sock.fileno()).st_ino
+
+    async def _readable(self) -> None:
+        """Wait until a client may be there."""
+        ready = asyncio.Event()
+        self.loop.add_reader(self.sock, ready.set)
+        try:
+            await ready.wait()
+        finally:
+            if self.sock.fileno() >= 0:
+                self.loop.remove_reader(self.sock)
+
+    async def _next_client(self) -> socket.socket:
+        """The next one; beside another process, after a look at whether this one still may."""
+        if not self.links:
+            return (await self.loop.sock_accept(self.sock))[0]
+        await self._readable()
+        while not all(each.may_accept() for each in self.links):
+            await asyncio.sleep(TURN)
+        return self.sock.accept()[0]
 
     async def _accept(self) -> None:
         while self._accepting.is_set():
             try:
                 self.waits = True
-                sock, _ = await self.loop.sock_accept(self.sock)
+                sock = await self._next_client()
                 self.waits = False
                 for _ in range((AT_NEED if self.gate.waiting else AT_ONCE) - 1):
                     self._take_in(sock)
@@ -368,8 +433,9 @@
 
         Danger: where a new process shares it without a hand-over, the kernel goes on giving this one half of
         the new clients, and what lies unaccepted when it closes is reset."""
-        if self.sock.fileno() < 0:
+        if self._closed:
             return
+        self._closed = True
         await self.pause_accept()
         with contextlib.suppress(OSError):
             while True:
@@ -394,8 +460,6 @@
             try:
                 self._chores()
                 self._give_away()
-                if self._giver is not None:
-                    self._giver.tell()
                 if self.loop.time() - checked >= CHECK:
                     checked = self.loop.time()
                     self._check(self.clock())
@@ -427,8 +491,8 @@
             if session is not None:
                 self.counters.add("moves.asked")
                 session.move()
-            elif self._taker is not None:
-                self._taker.move(request)
+            else:
+                any(each.move(request) for each in self.links)
         if chores.watch:
             self.discovery.ask()
 
@@ -445,22 +509,26 @@
         """Go on answering while connections still come, move everybody, wait for what is owed."""
         logger.info("stopping with {} sessions", len(self.sessions))
         longest = max((each.deadline for each in self.config.settings.classes), default=0.0) / 1000
-        given = min(longest, STOP_MAX) + STOP_SPARE
+        given_time = min(longest, STOP_MAX) + STOP_SPARE
         starts = self.loop.time()
-        ends = starts + given
-        linger = max(LINGER, given * MOVE_FROM)  # the later, the more of the others are back
-        heir, sent = self._giver is not None and self._giver.has_heir, True
+        ends = starts + given_time
+        linger = max(LINGER, given_time * MOVE_FROM)  # the later, the more of the others are back
+        giver, sent, given = self._giver, True, False
         if self._pace is None:  # one that drains goes on as it does
-            self._pace = Pace(starts + linger, starts + given * MOVE_TO)
+            self._pace = Pace(starts + linger, starts + given_time * MOVE_TO)
         while (now := self.loop.time()) < ends and (
-            self.sessions or self._tasks or not sent or (now < starts + LINGER and not heir)
+            self.sessions or self._tasks or not sent or not (given or self._closed)
         ):
-            if self._giver is not None:
-                await self._giver.pass_all_on()
-                sent = self._giver.sent()
-                if now >= starts + LINGER and not self._giver.has_heir:
-                    await self._empty_queue()
+            if giver is not None:
+                await giver.pass_all_on()
+                sent = giver.sent()
+            heirs = giver.links if giver is not None else []
+            given = any(each.serves and each.common for each in heirs)
+            if now >= starts + LINGER and not any(each.common for each in heirs):
+                await self._empty_queue()
             await asyncio.sleep(TICK)
+        if not given:
+            await self._empty_queue()
         for _, _, turn in self._latest:
             if not turn.done():
                 turn.set_result(False)
