Fault rig for the processes of one balancer: plans of stops, wakes and deaths, clients all along

Need: the hand-over of the right to accept is shown only by real processes that are stopped in each step.

`lab upgrades` plays plans, draws them from seeds, shrinks what goes wrong.

Found by the first play and mended: a process that has just given way still accepts until the newer one says that it does; it looked at the meeting place in that moment and took the newer one's place there, and the newer one took it back, for ever. It looks only while the right is its own.

--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -127,8 +127,8 @@
         node = self._node
         while True:
             await asyncio.sleep(SEEK)
-            if not node.serving or not node.accepts or node.lifecycle.leaving or self._here():
-                continue
+            if not node.serving or not node.holds or node.lifecycle.leaving or self._here():
+                continue  # who has just given way still accepts, and must not take the newer one's place
             try:
                 channel = self._other()
                 if channel is None or not await self._join(channel):
--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -66,6 +66,11 @@
             return True
         return self.newer if self.side is None else self.side.accepts
 
+    @property
+    def holds(self) -> bool:
+        """Whether the right is ours."""
+        return self.newer if self.side is None else self.side.holds
+
     @property
     def gave_way(self) -> bool:
         """Whether the other, newer one holds the right."""
@@ -111,7 +116,7 @@
         held = side.holds
         self._speak(side.turn(now, self._channel.unread()))
         if side.holds is not held:
-            self._say_change(now)
+            self._say_change(now, taken=True)
         self._beat = side.beat(node.serving, 0.0)
         if self._theirs and side.watch.silent(now) >= LOST:
             logger.warning("the {} process is silent: {} sessions lost", self._other, len(self._theirs))
@@ -122,10 +127,12 @@
     def _other(self) -> str:
         return "old" if self.newer else "new"
 
-    def _say_change(self, now: float) -> None:
+    def _say_change(self, now: float, taken: bool) -> None:
         assert self.side is not None
         side, watch = self.side, self.side.watch
-        if side.holds:
+        if side.holds and not taken:
+            logger.info("the {} process gives back: accepting, generation {}", self._other, side.generation)
+        elif side.holds:
             stood, silent = watch.stood * 1000, watch.silent(now) * 1000
             self._node.counters.add("handover.taken_back")
             logger.warning(
@@ -252,7 +259,7 @@
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise form.FormError(f"{kind}: {type(error).__name__}: {error}") from None
         if side.holds is not held:
-            self._say_change(now)
+            self._say_change(now, taken=False)
         self._beat = side.beat(self._node.serving, 0.0)
         return True
 
--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -1,4 +1,4 @@
-"""`python -m switchhub lab ...`: check, run, table, compare, engines, hunt, plot, perf, storm.
+"""`python -m switchhub lab ...`: check, run, table, compare, engines, hunt, plot, perf, storm, upgrades.
 
 Owns: the arguments, what is printed and the exit status: 0, 1 when a rule is broken, 2 for wrong use or a
 file that does not serve. Must never: start anything before every file named is checked whole.
@@ -149,6 +149,17 @@
     one.add_argument("--against", type=checkout, metavar="DIR", help="another checkout's balancer")
     one.add_argument("--json", type=new_file, metavar="FILE")
 
+    one = verb(
+        "upgrades",
+        "processes of one balancer stopped, woken and killed beside each other",
+        'upgrades "start a; ready a; 300; start b; ready b; stop b; 900"',
+    )
+    one.add_argument("plans", nargs="*", metavar="PLAN", help="as `lab/faults/upgrades.py` describes them")
+    one.add_argument("--seeds", type=seeds, default=[], help="draw a plan from each of these")
+    one.add_argument("--at-once", type=int, default=4, help="plays side by side")
+    one.add_argument("--shrink", action="store_true", help="look for less of a plan that still goes wrong")
+    one.add_argument("--json", type=new_file, metavar="FILE")
+
     one = verb("perf", "what the balancer itself costs", "perf --json perf.json")
     one.add_argument(
         "--against", type=checkout, metavar="DIR", help="beside another checkout, in the same run"
@@ -310,6 +321,17 @@
     return 0
 
 
+def _upgrades(told: argparse.Namespace) -> int:
+    from switchhub.lab.faults import upgrades
+
+    try:
+        found = upgrades.run([*told.plans, *map(upgrades.drawn, told.seeds)], told.at_once, told.shrink)
+    except upgrades.PlanError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+    write(told.json, found)
+    return 1 if any(each["faults"] for each in found) else 0
+
+
 VERBS: dict[str, Callable[[argparse.Namespace], int]] = {
     "check": _check,
     "run": _run,
@@ -320,6 +342,7 @@
     "hunt": _hunt,
     "perf": _perf,
     "storm": _storm,
+    "upgrades": _upgrades,
 }
 
 
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -270,6 +270,11 @@
         """Whether the right to accept is this process's, as far as each pair goes."""
         return all(each.accepts for each in self.links)
 
+    @property
+    def holds(self) -> bool:
+        """Whether it is this process's, and not only until another has said that it accepts."""
+        return all(each.holds for each in self.links)
+
     def settle(self) -> None:
         """What this process is and whether it accepts, as the pairs have it: here and nowhere else."""
         gave_way = any(each.gave_way for each in self.links)
--- /dev/null
+++ b/tests/test_upgrades.py
@@ -0,0 +1,48 @@
+"""Processes of one balancer stopped, woken and killed in each step of an upgrade, clients all along."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from switchhub.lab.faults.upgrades import PlanError, Stage, play_all
+
+BOTH = "start a; ready a; 200; start b; ready b; 200; "
+PLANS = {
+    "new one stops": BOTH + "stop b; 1200",
+    "new one stops and wakes": BOTH + "stop b; 1000; wake b; 1200; term a; gone a",
+    "new one stops for a moment": BOTH + "stop b; 200; wake b; 500; term a; gone a",
+    "old one stopped before the new one starts": "start a; ready a; 200; stop a; start b; ready b; 800",
+    "and wakes": "start a; ready a; 200; stop a; start b; ready b; 300; wake a; 500; term a; gone a",
+    "old one stops": BOTH + "stop a; 1000; wake a; 300; term a; gone a",
+    "both stop in turn": BOTH + "stop b; 600; wake b; 800; stop a; 600; stop b; wake a; 600; wake b",
+    "old one is killed while the new one is stopped": BOTH + "stop b; 600; kill a; 300; wake b",
+    "old one told to end while the new one is stopped": BOTH + "stop b; 500; term a; 1000; wake b; gone a",
+    "new one told to end": BOTH + "term b; gone b; 300",
+    "a third while the new one is stopped": BOTH + "stop b; 500; start c; ready c; 500; wake b; 500",
+    "a third, and the second is killed": BOTH + "stop b; start c; ready c; 500; kill b; 500; term a; gone a",
+}
+STEPS = [  # a stops itself there, or b does; the other goes on, and the first wakes
+    *(f"start a@{word}; ready a; 200; start b; stopped a; ready b; 600; wake a; 600; term a; gone a"
+      for word in ("hear:ask", "send:listener", "hear:take", "send:known", "send:yours")),
+    *(f"start a; ready a; 200; start b@{word}; stopped b; 700; wake b; ready b; 1000; term a; gone a"
+      for word in ("send:ask", "hear:listener", "send:take", "hear:known", "hear:yours")),
+    "start a@send:pass; ready a; 200; start b; ready b; 200; term a; stopped a; 600; wake a; gone a",
+    "start a; ready a; 200; start b@hear:pass; ready b; 200; term a; stopped b; 600; wake b; gone a",
+]  # fmt: skip
+
+
+AT_ONCE = 4
+
+
+@pytest.mark.parametrize("at", range(0, len(PLANS) + len(STEPS), AT_ONCE))
+def test_every_client_is_answered_in_time(at: int) -> None:
+    for record in play_all([*PLANS.values(), *STEPS][at : at + AT_ONCE], AT_ONCE):
+        assert not record.faults(), (record.plan, record.faults(), record.figures(), record.logs)
+
+
+@pytest.mark.parametrize("plan", ["stop", "halt a", "start", "; 5 5"])
+def test_a_plan_that_is_none_is_said_to_be_none(plan: str) -> None:
+    with pytest.raises(PlanError):
+        Stage(plan, Path("."))
