One told to end stays until the newer process has been heard since

Cause: an old process told to end 20 ms after the new one had stopped left at once, since the new one had accepted a moment before; nobody was left. Seen in a drawn plan (stop b; 20; term a; 900), a wait of 1.4 s. Ruled out: the beat's bound, which was never reached before the old one's exit.

Change: at a stop the newer process counts as serving only once it has beaten after the signal.

--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -81,6 +81,12 @@
         """Whether the newer one can be given what stands here."""
         return self.gave_way and (self.side is None or not self.side.accepts)
 
+    def heard_since(self, at: float) -> bool:
+        """Whether the other has beaten since then, by the monotonic clock; one that can't beat has.
+
+        Danger: one told to end leaves for good, and what serves may have stopped a moment ago."""
+        return self.side is None or self.side.watch.heard > at
+
     def may_accept(self) -> bool:
         """Asked before each client."""
         return (
--- a/switchhub/lab/faults/upgrades.py
+++ b/switchhub/lab/faults/upgrades.py
@@ -10,6 +10,8 @@
     stopped a        wait until it stands still
     gone a           wait until it has ended
     said a TEXT      wait until its log has it
+    runs a           it must run now
+    crowd 3000       so many clients at once, who are counted and not judged: this process is late as well
     stop a, wake a, kill a, term a              SIGSTOP, SIGCONT, SIGKILL, SIGTERM
     300              milliseconds pass
 """
@@ -64,15 +66,17 @@
     plan: str
     done: list[tuple[float, str]] = field(default_factory=list)
     came: list[Came] = field(default_factory=list)
+    crowd: list[Came] = field(default_factory=list)
     opened: list[tuple[float, str, str]] = field(default_factory=list)  # when, which server, which id
     nobody: list[tuple[float, float]] = field(default_factory=list)  # no process ran
+    stuck: str = ""  # a step whose condition did not come
     ready: list[str] = field(default_factory=list)  # which processes said at the end that they serve
     ended: dict[str, int] = field(default_factory=dict)
     logs: dict[str, list[str]] = field(default_factory=dict)
 
     def faults(self) -> list[str]:
         """What was wrong."""
-        out, lost = [], 0
+        out, lost = [f"nothing came of: {self.stuck}"] if self.stuck else [], 0
         struck = sum(step.split()[0] in ("stop", "kill", "stopped") for _, step in self.done)
         for client in self.came:
             excused = any(begin - WAIT < client.at < end + SLACK for begin, end in self.nobody)
@@ -98,6 +102,7 @@
         return {
             "clients": len(self.came),
             "up": sum(c.answer == "UP" for c in self.came),
+            "crowd_up": sum(c.answer == "UP" for c in self.crowd),
             "lost": sum(not c.answer or c.answered - c.at > WAIT + SLACK for c in self.came),
             "broken": sum(c.answer == "UP" and not c.spoke for c in self.came),
             "wait_p50_ms": round(1000 * waits[len(waits) // 2], 1) if waits else None,
@@ -116,7 +121,6 @@
         self._folder, self._every = folder, every
         self._zero = time.monotonic()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
-        self._calls: dict[str, int] = {}  # management ports
         self._stopped: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._names = [f"s{number}" for number in range(servers)]
@@ -143,7 +147,11 @@
             _configure(self._folder, found, _address(listening[-1]), listing)
             clients: asyncio.Task[None] | None = None
             for words in self.steps:
-                await self._do(words)
+                try:
+                    await self._do(words)
+                except TimeoutError:
+                    self.record.stuck = " ".join(words)
+                    break
                 if clients is None and words[0] == "ready":
                     clients = self._start(self._clients())
             await self._settled()
@@ -176,6 +184,12 @@
                 process.send_signal(SIGNALS[verb])
             if verb == "stop":
                 await self._until(lambda: self._state(name) in "TZ")
+        elif verb == "crowd":
+            for number in range(int(rest[0])):
+                self._start(self._client(1_000_000 + len(self.record.crowd) + number, self.record.crowd))
+        elif verb == "runs":
+            if self._state(name) in "TZ":
+                raise TimeoutError
         elif verb == "gone":
             await self._until(lambda: self._processes[name].returncode is not None)
         elif verb == "stopped":
@@ -210,11 +224,10 @@
 
     async def _start_process(self, name: str, stop_at: str) -> None:
         module = "switchhub.lab.faults.launch" if stop_at else "switchhub"
-        self._calls[name] = ports("127.0.0.1", 1)[0]
         environ = {
             **os.environ,
             "BALANCER_CONFIG": str(self._folder / "config.json"),
-            "BALANCER_MANAGEMENT": f"127.0.0.1:{self._calls[name]}",
+            "BALANCER_MANAGEMENT": "127.0.0.1:0",
             "TMPDIR": str(self._folder),
             "LAB_STOP_AT": stop_at,
         }
@@ -246,9 +259,11 @@
         for name, process in self._processes.items():
             if process.returncode is not None or self._state(name) in "TZ":
                 continue
-            with contextlib.suppress(OSError, TimeoutError):
+            called = [line for line in self.record.logs[name] if "management on" in line]
+            with contextlib.suppress(OSError, TimeoutError, IndexError):
                 async with asyncio.timeout(1.0):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self._calls[name])
+                    port = int(called[0].rsplit(":", 1)[1])
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
                     writer.write(b"GET /healthcheck HTTP/1.1\r\n\r\n")
                     if (await reader.read()).split()[1] == b"200":
                         self.record.ready.append(name)
@@ -285,12 +300,12 @@
         begun, count = self.now(), 0
         while self._going:
             count += 1
-            self._start(self._client(count))
+            self._start(self._client(count, self.record.came))
             await asyncio.sleep(max(0.0, begun + count * self._every - self.now()))
 
-    async def _client(self, number: int) -> None:
+    async def _client(self, number: int, among: list[Came]) -> None:
         came = Came(self.now())
-        self.record.came.append(came)
+        among.append(came)
         writer = None
         with contextlib.suppress(ConnectionError, TimeoutError):
             reader, writer = await asyncio.wait_for(
@@ -318,7 +333,16 @@
     words = text.split()
     if len(words) == 1 and words[0].isdigit():
         return ["pass", words[0]]
-    if len(words) < 2 or words[0] not in (*SIGNALS, "start", "ready", "stopped", "gone", "said"):
+    if len(words) < 2 or words[0] not in (
+        *SIGNALS,
+        "start",
+        "ready",
+        "stopped",
+        "gone",
+        "said",
+        "runs",
+        "crowd",
+    ):
         raise PlanError(f"no step: {text!r}")
     return words
 
@@ -363,7 +387,7 @@
         "listen": f"127.0.0.1:{port}",
         "discovery": discovery,
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 16384},
         "known": listing,
         "settings": told.nested(scenario, 0),
     }
@@ -436,7 +460,7 @@
     at = len(steps) - 1
     while at >= 2:  # the first process stays
         less = [*steps[:at], *steps[at + 1 :]]
-        with contextlib.suppress(KeyError, TimeoutError):  # it names a process that is not there any more
+        with contextlib.suppress(KeyError):  # it names a process that is not there any more
             if any(record.faults() for record in play_all(["; ".join(less)] * tries, tries)):
                 steps = less
         at -= 1
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -518,7 +518,7 @@
         starts = self.loop.time()
         ends = starts + given_time
         linger = max(LINGER, given_time * MOVE_FROM)  # the later, the more of the others are back
-        giver, sent, given = self._giver, True, False
+        giver, sent, given, asked = self._giver, True, False, time.monotonic()
         if self._pace is None:  # one that drains goes on as it does
             self._pace = Pace(starts + linger, starts + given_time * MOVE_TO)
         while (now := self.loop.time()) < ends and (
@@ -528,7 +528,7 @@
                 await giver.pass_all_on()
                 sent = giver.sent()
             heirs = giver.links if giver is not None else []
-            given = any(each.serves and each.common for each in heirs)
+            given = any(each.serves and each.common and each.heard_since(asked) for each in heirs)
             if now >= starts + LINGER and not any(each.common for each in heirs):
                 await self._empty_queue()
             await asyncio.sleep(TICK)
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -19,6 +19,8 @@
     "both stop in turn": BOTH + "stop b; 600; wake b; 800; stop a; 600; stop b; wake a; 600; wake b",
     "old one is killed while the new one is stopped": BOTH + "stop b; 600; kill a; 300; wake b",
     "old one told to end while the new one is stopped": BOTH + "stop b; 500; term a; 1000; wake b; gone a",
+    "old one told to end just after the new one stopped": BOTH
+    + "stop b; 20; term a; 1500; runs a; wake b; gone a",
     "new one told to end": BOTH + "term b; gone b; 300",
     "a third while the new one is stopped": BOTH + "stop b; 500; start c; ready c; 500; wake b; 500",
     "a third, and the second is killed": BOTH + "stop b; start c; ready c; 500; kill b; 500; term a; gone a",
