A holder without descriptors loses the right; the lead of the kernel's choice has its test

Need: a new process that beats but can accept nobody (EMFILE) kept the right, its clients waited in the queue.

--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -120,7 +120,7 @@
         node, side, now = self._node, self.side, time.monotonic()
         if now - self._turned > LOST / 2:
             self._told.clear()  # the other may have given us up
-        if not node.sockets.out:  # one without descriptors accepts nobody, as one that stands still
+        if not node.full:  # one without descriptors accepts nobody, as one that stands still
             self._turned = now
         side.leaves = node.lifecycle.leaving
         held = side.holds
--- a/switchhub/lab/faults/launch.py
+++ b/switchhub/lab/faults/launch.py
@@ -3,7 +3,8 @@
 Owns: one wrapper around the hand-over's channel, in this process only. Must never: change what the program
 does; it only sends SIGSTOP to itself when the word in `LAB_STOP_AT` has just passed, once.
 
-`LAB_STOP_AT` is `send:WORD` or `hear:WORD`, with the words of `handover/form.py`.
+`LAB_STOP_AT` is `send:WORD` or `hear:WORD`, with the words of `handover/form.py`; or `refuse:copy`, which
+makes it a platform that lets no process copy another's socket.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import socket
 import sys
 
-from switchhub.handover import form
+from switchhub.handover import form, steal
 from switchhub.handover.channel import Channel
 
 
@@ -39,7 +40,12 @@
             stop(received[0])
         return received
 
-    if way == "send":
+    def refuse(process: int, number: int) -> socket.socket:
+        raise PermissionError(1, "refused here")
+
+    if way == "refuse":
+        steal._copy = refuse
+    elif way == "send":
         Channel.send = sends  # type: ignore[method-assign]
     else:
         Channel.receive = receives  # type: ignore[method-assign]
--- a/switchhub/lab/faults/upgrades.py
+++ b/switchhub/lab/faults/upgrades.py
@@ -13,6 +13,7 @@
     runs a           it must run now
     crowd 3000       so many clients at once, who are counted and not judged: this process is late as well
     stop a, wake a, kill a, term a              SIGSTOP, SIGCONT, SIGKILL, SIGTERM
+    choke a, free a  no further descriptor for it; as many as before
     300              milliseconds pass
 """
 
@@ -23,6 +24,7 @@
 import json
 import math
 import os
+import resource
 import shutil
 import signal
 import sys
@@ -46,6 +48,7 @@
 AT_HAND = 3  # clients that one process may have accepted and not answered when it is stopped or killed
 STAGES = count()
 SIGNALS = {"stop": signal.SIGSTOP, "wake": signal.SIGCONT, "kill": signal.SIGKILL, "term": signal.SIGTERM}
+VERBS = (*SIGNALS, "start", "ready", "stopped", "gone", "said", "runs", "crowd", "choke", "free")
 
 
 class PlanError(ValueError):
@@ -208,6 +211,8 @@
         elif verb == "crowd":
             for number in range(int(rest[0])):
                 self._start(self._client(1_000_000 + len(self.record.crowd) + number, self.record.crowd))
+        elif verb in ("choke", "free"):
+            self._limit(name, verb == "choke")
         elif verb == "runs":
             if self._state(name) in "TZ":
                 raise TimeoutError
@@ -221,6 +226,13 @@
         self.record.done.append((round(self.now(), 3), " ".join(words)))
         self._mark()
 
+    def _limit(self, name: str, choke: bool) -> None:
+        pid = self._processes[name].pid
+        soft, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        if choke:
+            soft = max(map(int, os.listdir(f"/proc/{pid}/fd"))) + 1
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (soft if choke else hard, hard))
+
     def _state(self, name: str) -> str:
         """One letter of proc(5)."""
         with contextlib.suppress(OSError):
@@ -357,16 +369,7 @@
     words = text.split()
     if len(words) == 1 and words[0].isdigit():
         return ["pass", words[0]]
-    if len(words) < 2 or words[0] not in (
-        *SIGNALS,
-        "start",
-        "ready",
-        "stopped",
-        "gone",
-        "said",
-        "runs",
-        "crowd",
-    ):
+    if len(words) < 2 or words[0] not in VERBS:
         raise PlanError(f"no step: {text!r}")
     return words
 
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -43,6 +43,7 @@
 TICK = 0.02  # seconds between two looks at the module's chores
 CHECK = 0.1  # seconds between two looks at silent connections
 NO_DESCRIPTORS = 0.02  # seconds to wait when a connection can't be accepted
+CHOKED = 0.1  # seconds that one such failure counts
 LINGER = 0.45  # seconds after a stop's start in which new connections still come: the moved would come back
 STOP_MAX, STOP_SPARE = 3.0, 0.3  # seconds: the longest deadline that a stop is given, and a bit more
 MOVE_FROM, MOVE_TO = 0.5, 0.92  # parts of the time given between which everybody is moved, evenly
@@ -114,6 +115,7 @@
         self.sock = self._bound() if shared is None else shared
         self.serving = False  # it listens, and its loops run
         self.waits = False  # for a client to accept
+        self._choked = -math.inf  # when one could not be accepted last
         self._accept_task: asyncio.Task[None] | None = None
         self._closed = False  # the clients' address is not this process's any more
         self._accepting = asyncio.Event()
@@ -270,6 +272,11 @@
         """Whether the right to accept is this process's, as far as each pair goes."""
         return all(each.accepts for each in self.links)
 
+    @property
+    def full(self) -> bool:
+        """Whether nobody can be accepted here, for want of descriptors."""
+        return self.sockets.out or time.monotonic() - self._choked < CHOKED
+
     @property
     def holds(self) -> bool:
         """Whether it is this process's, and not only until another has said that it accepts."""
@@ -336,6 +343,7 @@
             except OSError as error:  # EMFILE, or gone again
                 logger.warning("accept: {}", error)
                 self.counters.add("accept.failed")
+                self._choked = time.monotonic()
                 self.sockets.relieve()
                 await asyncio.sleep(NO_DESCRIPTORS)
                 continue
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -24,6 +24,7 @@
     "old one told to end just after the new one stopped": BOTH
     + "stop b; 20; term a; 1500; runs a; wake b; gone a",
     "new one told to end": BOTH + "term b; gone b; 300",
+    "new one out of descriptors": BOTH + "choke b; 1800; free b; 1200; term a; gone a",
     "a third while the new one is stopped": BOTH + "stop b; 500; start c; ready c; 500; wake b; 500",
     "a third, and the second is killed": BOTH + "stop b; start c; ready c; 500; kill b; 500; term a; gone a",
 }
@@ -52,6 +53,16 @@
         Stage(plan, Path("."))
 
 
+def test_where_no_socket_may_be_copied_the_kernel_leads_new_clients_to_the_new_process() -> None:
+    """What lay in the stopped one's queue until then is lost; without the lead half of the rest is, too."""
+    plan = "start a; ready a; 200; stop a; start b@refuse:copy; ready b; 1000; wake a; 800; term a; gone a"
+    (record,) = play_all([plan], 1)
+    ready = next(at for at, step in record.done if step == "ready b")
+    late = [client for client in record.came if client.at > ready]
+    assert len(late) > 40 and all(client.answer == "UP" for client in late), (record.figures(), record.logs)
+    assert record.ready == ["b"] and record.ended["a"] == 0
+
+
 def test_a_cold_server_gets_no_more_than_its_budget_by_both_together() -> None:
     """What one has sent there, the other counts: without that, 7 to 15 too many."""
 
