A process on a slow core in the rig, and words of a stranger in the pair's form

What a stranger says in the new words (a negative generation, one that is no number, a beat without one, what was sent without figures) changes nothing.

--- a/switchhub/lab/faults/upgrades.py
+++ b/switchhub/lab/faults/upgrades.py
@@ -14,6 +14,7 @@
     crowd 3000       so many clients at once, who are counted and not judged: this process is late as well
     stop a, wake a, kill a, term a              SIGSTOP, SIGCONT, SIGKILL, SIGTERM
     choke a, free a  no further descriptor for it; as many as before
+    slow a           it shares one core with a process that never rests, to the end of the play
     300              milliseconds pass
 """
 
@@ -49,7 +50,7 @@
 AT_HAND = 3  # clients that one process may have accepted and not answered when it is stopped or killed
 STAGES = count()
 SIGNALS = {"stop": signal.SIGSTOP, "wake": signal.SIGCONT, "kill": signal.SIGKILL, "term": signal.SIGTERM}
-VERBS = (*SIGNALS, "start", "ready", "stopped", "gone", "said", "runs", "crowd", "choke", "free")
+VERBS = (*SIGNALS, "start", "ready", "stopped", "gone", "said", "runs", "crowd", "choke", "free", "slow")
 
 
 class PlanError(ValueError):
@@ -145,7 +146,7 @@
         self._folder, self._every, self._cold = folder, every, cold
         self._zero = time.monotonic()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
-        self._stopped: set[str] = set()
+        self._hogs: list[asyncio.subprocess.Process] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._names = [f"s{number}" for number in range(3)]
         stage = next(STAGES)  # a loopback address of its own: no other play takes its ports
@@ -214,6 +215,8 @@
                 self._start(self._client(1_000_000 + len(self.record.crowd) + number, self.record.crowd))
         elif verb in ("choke", "free"):
             self._limit(name, verb == "choke")
+        elif verb == "slow":
+            await self._slow(self._processes[name].pid)
         elif verb == "runs":
             if self._state(name) in "TZ":
                 raise TimeoutError
@@ -227,6 +230,14 @@
         self.record.done.append((round(self.now(), 3), " ".join(words)))
         self._mark()
 
+    async def _slow(self, pid: int) -> None:
+        core = min(os.sched_getaffinity(0))
+        rests_never = await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
+        self._hogs.append(rests_never)
+        threads = [int(each) for each in os.listdir(f"/proc/{pid}/task")]
+        for each in (*threads, rests_never.pid):
+            os.sched_setaffinity(each, [core])
+
     def _limit(self, name: str, choke: bool) -> None:
         pid = self._processes[name].pid
         _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
@@ -303,7 +314,7 @@
 
     async def _end(self, listening: list[asyncio.Server]) -> None:
         self._going = False
-        for process in self._processes.values():
+        for process in (*self._processes.values(), *self._hogs):
             if process.returncode is None:
                 process.kill()
                 await process.wait()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -316,6 +316,21 @@
         [form.write("ask", form=form.FORM, listen=None)],
         [form.write("ask", form=form.FORM, listen=["127.0.0.1", "PORT"]), b"[]"],
         [form.write("ask", form=form.FORM, listen=["127.0.0.1", "PORT"]), form.write("take"), b"more"],
+        [form.write("join", form=form.FORM, listen=["127.0.0.1", "PORT"], born="x"), b"more"],
+        *(
+            [
+                form.write("ask", form=form.FORM, listen=["127.0.0.1", "PORT"]),
+                form.write("take", **take),
+                word,
+            ]
+            for take, word in (
+                ({"queue": 7, "generation": -1}, b""),
+                ({"queue": 7, "generation": 5}, form.write("right", generation=1e400, newer=1)),
+                ({"queue": 7, "generation": 5}, form.write("beat", generation=None)),
+                ({"queue": 7, "generation": 5}, form.write("sent", servers=[["a", "b"]])),
+                ({"queue": 7, "generation": 5}, form.write("yours")),
+            )
+        ),
     ],
 )
 def test_a_stranger_at_the_meeting_place_changes_nothing(tmp_path: Path, words: list[bytes]) -> None:
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -26,6 +26,7 @@
     + "stop b; 20; term a; 1500; runs a; wake b; gone a",
     "new one told to end": BOTH + "term b; gone b; 300",
     "new one out of descriptors": BOTH + "choke b; 1800; free b; 1200; term a; gone a",
+    "new one on a slow core": BOTH + "slow b; 1000; term a; gone a; 300",
     "a third while the new one is stopped": BOTH + "stop b; 500; start c; ready c; 500; wake b; 500",
     "a third, and the second is killed": BOTH + "stop b; start c; ready c; 500; kill b; 800",
 }
