The beat's hold on the channel is taken before its thread starts; the meeting place is had again at once

Found by the whole suite on a clean clone and by the words of a stranger: (1) a pair that ends in the moment it begins left a traceback, as the thread copied a channel that was closed already (one in five plays of the stranger's words); (2) after a newer process's death the old one stood at the meeting place again only after up to 0.25 s, and a third process that started within that time found nobody, shared the address, and the old one's clients were moved instead of passed on; (3) a `join` without a birth was turned away without a line.

Change: the copy is made where the pair begins; a newer process's end wakes the look at the meeting place; such a join is said to be none.

--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -49,6 +49,7 @@
         self._born = time.monotonic()  # comparable among the processes of one machine
         self._sock: socket.socket | None = None
         self._inode = 0
+        self._gone = asyncio.Event()  # a newer process has: look at once, the next one may be about to start
         self._accepting: asyncio.Task[None] | None = None
         self._attending: set[asyncio.Task[None]] = set()
 
@@ -134,7 +135,10 @@
         """While this process accepts, it stands at the meeting place, or joins the newer one that does."""
         node = self._node
         while True:
-            await asyncio.sleep(SEEK)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SEEK):
+                    await self._gone.wait()
+            self._gone.clear()
             if not node.serving or not node.holds or node.lifecycle.leaving or self._here():
                 continue  # who has just given way still accepts, and must not take the newer one's place
             try:
@@ -199,7 +203,9 @@
     async def _joined(self, channel: Channel, values: dict[str, Any]) -> None:
         """An older process has found us; it knows no more than we do."""
         born = values.get("born")
-        if not isinstance(born, float) or born >= self._born:
+        if not isinstance(born, float):
+            raise form.FormError(f"join: {born!r}")
+        if born >= self._born:
             channel.send(form.write("no", why="it is newer"))
             return channel.close()
         link = Link(self._node, channel, newer=True, beats=True, common=True)
@@ -234,6 +240,7 @@
         finally:
             channel.close()
             node.settle()
+            self._gone.set()
 
     async def _hear(self, channel: Channel) -> tuple[str, dict[str, Any]]:
         received = await channel.receive()
--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -152,9 +152,8 @@
         else:
             logger.info("the {} process accepts from now on, generation {}", self._other, side.generation)
 
-    def _beat_on(self) -> None:
+    def _beat_on(self, sock: socket.socket) -> None:
         """The thread: a loop that is late in a storm is no process that has stopped."""
-        sock = self._channel.copy()
         try:
             while not self._over.wait(BEAT):
                 beat = self._beat._replace(stood=max(0.0, time.monotonic() - self._turned - 2 * TURN))
@@ -179,9 +178,10 @@
         know."""
         self._node.join(self)
         watching = asyncio.create_task(self._look_on())
-        if self.side is not None:
-            threading.Thread(target=self._beat_on, daemon=True).start()
         try:
+            if self.side is not None:
+                # Danger: the channel may be closed before the thread has begun: its hold on it is taken here.
+                threading.Thread(target=self._beat_on, args=(self._channel.copy(),), daemon=True).start()
             while True:
                 try:
                     await self._next()
