--- a/switchhub/handover/form.py
+++ b/switchhub/handover/form.py
@@ -5,7 +5,7 @@
     new -> old   ask (form, listen), take (which queue, generation), got (a connection that was passed)
     old -> new   listener (generation), or no (why); known (discovery, list), held (connections), yours (what
                  was learnt); then, as things change, pass (one connection)
-                 join (form, listen, born) comes first from an old one that has lost its newer process
+                 join (form, listen, queue, born) comes first from an old one that has lost its newer process
     both         held, ended (ids), sent (to cold servers), as things change; right, beat (`right.py`)
 
 One that speaks the form without the right says no generation and no queue; then it is as it was without.
@@ -18,6 +18,7 @@
 
 import base64
 import json
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
@@ -108,7 +109,10 @@
 def read_sent(values: Mapping[str, Any]) -> list[tuple[str, float, float]]:
     """What was sent to cold servers: which, when, how much."""
     try:
-        return [(str(server), float(at), float(push)) for server, at, push in values["servers"]]
+        told = [(str(server), float(at), float(push)) for server, at, push in values["servers"]]
+        if not all(math.isfinite(at) and math.isfinite(push) for _, at, push in told):
+            raise ValueError("not finite")
+        return told
     except (KeyError, TypeError, ValueError) as error:
         raise FormError(f"sent: {type(error).__name__}: {error}") from None
 
--- a/switchhub/handover/giver.py
+++ b/switchhub/handover/giver.py
@@ -163,7 +163,8 @@
         """Be the older one to whoever stands there; not if it is older, or silent."""
         try:
             listen = list(self._node.address())
-            channel.send(form.write("join", form=form.FORM, listen=listen, born=self._born))
+            queue = self._node.queue()
+            channel.send(form.write("join", form=form.FORM, listen=listen, queue=queue, born=self._born))
             async with asyncio.timeout(ANSWER_WITHIN):
                 kind, values = await self._hear(channel)
             if kind == "take":
@@ -208,7 +209,8 @@
         if born >= self._born:
             channel.send(form.write("no", why="it is newer"))
             return channel.close()
-        link = Link(self._node, channel, newer=True, beats=True, common=True)
+        common = values.get("queue") == self._node.queue()
+        link = Link(self._node, channel, newer=True, beats=True, common=common)
         link.known.set()
         logger.info("joined by an older process")
         link.take(self._generation())
--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -57,7 +57,7 @@
         self.lost = 0  # connections of the other that went with it
         self._out = 0  # passed on and not confirmed
         self._confirmed = asyncio.Event()
-        self._turned = time.monotonic()
+        self._looked = self._turned = time.monotonic()  # when the loop turned last; the same, and not full
         self._beat = Beat(0, False, 0.0, False)  # written here, read by the thread
         self._over = threading.Event()
 
@@ -118,8 +118,9 @@
         """A look at the time."""
         assert self.side is not None
         node, side, now = self._node, self.side, time.monotonic()
-        if now - self._turned > LOST / 2:
+        if now - self._looked > LOST / 2:
             self._told.clear()  # the other may have given us up
+        self._looked = now
         if not node.full:  # one without descriptors accepts nobody, as one that stands still
             self._turned = now
         side.leaves = node.lifecycle.leaving
@@ -140,7 +141,7 @@
     def _say_change(self, now: float, taken: bool) -> None:
         assert self.side is not None
         side, watch = self.side, self.side.watch
-        if side.holds and not taken:
+        if side.holds and not (taken and watch.stalled(now)):  # it gives it back, or is told to end
             logger.info("the {} process gives back: accepting, generation {}", self._other, side.generation)
         elif side.holds:
             stood, silent = watch.stood * 1000, watch.silent(now) * 1000
@@ -296,6 +297,7 @@
             self.end([held.id])
         self._theirs[held.id] = held
         node.ids.take(held.id)
+        logger.debug("{} is the {} process's, at {}", held.id, self._other, held.server)
         request = form.request_of(held, node.config.classes, node.config.tenants)
         node.facade.report(node.clock(), Adopted(request, held.server))
 
--- a/switchhub/handover/taker.py
+++ b/switchhub/handover/taker.py
@@ -69,12 +69,12 @@
             (kind, values), sockets = form.read(received[0]), received[1]
             if kind != "listener" or len(sockets) != 1:
                 raise form.FormError(f"{kind} {values}")
+            beats, generation = "generation" in values, form.number(values.get("generation", 0))
         except (form.FormError, OSError) as error:
             logger.warning("no hand-over: {}: {}", type(error).__name__, error)
             channel.close()
             return None
-        generation = values.get("generation")
-        return cls(channel, sockets[0], generation is not None, form.number(generation or 0), True)
+        return cls(channel, sockets[0], beats, generation, True)
 
     async def take(self, node: Listener) -> None:
         """Take over. Where the old process can be asked, wait until this one knows what it knew."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -210,6 +210,34 @@
     asyncio.run(play())
 
 
+def test_an_id_that_a_stalled_new_process_holds_is_taken(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is stopped, not dead: its attempt may still be out, and it may answer once it wakes (rules 1, 2)."""
+    monkeypatch.setenv("SWITCHHUB_LOG", "DEBUG")
+
+    async def play() -> None:
+        server = Server("a")
+        async with running(tmp_path, server, management=True) as (old, _), upgrade(old) as new:
+            client = await new.client()
+            client.send(b"OPEN 00bb key c=pay,t=acme,d=2000\r\n")
+            assert (await client.line()).startswith(b"UP ")
+            await old.logged("00bb is the new process's")
+            new.process.send_signal(signal.SIGSTOP)
+            await old.logged("the new process is silent")
+            other = await old.client()
+            other.send(b"OPEN 00bb key c=pay,t=acme,d=2000\r\n")
+            assert await other.line() == b"ERR\r\n"
+            await old.up()
+            new.process.send_signal(signal.SIGCONT)
+            await old.logged("the new process accepts from now on")
+            client.send(b"M 1\r\n")
+            assert await client.line() == b"M 1\r\n"
+            assert len([line for line in server.opened if b"00bb" in line]) == 1
+
+    asyncio.run(play())
+
+
 def test_what_is_being_set_up_stays_with_the_old_process_and_follows(tmp_path: Path) -> None:
     async def play() -> None:
         server = Server("a", "silent")
@@ -328,6 +356,7 @@
                 ({"queue": 7, "generation": 5}, form.write("right", generation=1e400, newer=1)),
                 ({"queue": 7, "generation": 5}, form.write("beat", generation=None)),
                 ({"queue": 7, "generation": 5}, form.write("sent", servers=[["a", "b"]])),
+                ({"queue": 7, "generation": 5}, form.write("sent", servers=[["a", 1.0, float("nan")]])),
                 ({"queue": 7, "generation": 5}, form.write("yours")),
             )
         ),
@@ -382,7 +411,7 @@
     return sock
 
 
-@pytest.mark.parametrize("there", ["nothing", "stale", "foreign", "other form", "long"])
+@pytest.mark.parametrize("there", ["nothing", "stale", "foreign", "other form", "no number", "long"])
 def test_without_a_hand_over_the_address_is_shared(tmp_path: Path, there: str) -> None:
     """No `$TMPDIR` in common, or something else at the path: the kernel deals out new clients to both, and
     the old process moves those that it holds."""
@@ -398,17 +427,25 @@
                 old_form(path).close()
             elif there == "foreign":
                 Path(path).write_text("mine")
-            elif there == "other form":
+            elif there in ("other form", "no number"):
                 other = old_form(path)
                 other.setblocking(False)
 
                 async def answer(sock: socket.socket) -> None:
-                    theirs, _ = await asyncio.get_running_loop().sock_accept(sock)
-                    theirs.send(form.write("no", why="another form"))
+                    loop = asyncio.get_running_loop()
+                    theirs, _ = await loop.sock_accept(sock)
+                    await loop.sock_recv(theirs, 4096)  # closed unread, the other hears a reset and no answer
+                    if there == "no number":  # danger: what it says must not end the one that starts
+                        told = form.write("listener", generation=-1)
+                        socket.send_fds(theirs, [told], [other.fileno()])
+                    else:
+                        theirs.send(form.write("no", why="another form"))
                     theirs.close()
 
                 told = asyncio.create_task(answer(other))
             async with upgrade(old, TMPDIR=str(folder)) as new:
+                if other is not None:
+                    await new.logged("FormError: no" if there == "other form" else "FormError: no number: -1")
                 kept = [await new.up() for _ in range(6)]
                 old.process.terminate()
                 assert await client.end() == b"MOVE\r\n"
@@ -417,7 +454,7 @@
                 kept += [await new.up() for _ in range(6)]
                 if there == "foreign":
                     assert Path(path).read_text() == "mine"
-                if there == "other form":
+                if other is not None:
                     await told
             if other is not None:
                 other.close()
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from switchhub.lab.faults.upgrades import PlanError, Record, Stage, play, play_all
+from switchhub.lab.faults.upgrades import AT_HAND, SLACK, WAIT, PlanError, Record, Stage, play, play_all
 from switchhub.lab.scenario import Cold
 
 BOTH = "start a; ready a; 200; start b; ready b; 200; "
@@ -65,6 +65,17 @@
     assert record.ready == ["b"] and record.ended["a"] == 0
 
 
+def test_an_older_process_with_a_queue_of_its_own_leaves_the_newer_ones_alone() -> None:
+    """Danger: joined as if the queue were common, the newer one waits for a right to it when it wakes."""
+    plan = (
+        "start a; ready a; stop a; start b@refuse:copy; ready b; wake a; 300; start c; ready c; 300; kill b; "
+    )
+    (record,) = play_all([plan + "said c joined by an older; 300; stop c; 1300; wake c; 800"], 1)
+    ready = next(at for at, step in record.done if step == "ready c")
+    lost = [c for c in record.came if c.at > ready and (not c.answer or c.answered - c.at > WAIT + SLACK)]
+    assert len(lost) <= 2 * AT_HAND and record.ready == ["c"], (len(lost), record.ready, record.logs)
+
+
 def test_a_cold_server_gets_no_more_than_its_budget_by_both_together() -> None:
     """What one has sent there, the other counts: without that 5 to 8 too many; the median of three plays."""
 
