--- a/switchhub/lab/faults/upgrades.py
+++ b/switchhub/lab/faults/upgrades.py
@@ -43,6 +43,7 @@
 
 EVERY, WAIT = 0.02, 1.5  # seconds between two clients, and that each waits
 LIMIT = 12.0  # seconds that a step may wait for its condition
+AFTER = 1.0  # seconds after a step that are put down to it
 SETTLE, LOOK = 6.0, 0.3  # seconds after the last step in which one process is to be left with the right
 HOLDS = 0.4  # seconds that a client stays before it speaks and leaves
 SLACK = 0.1  # seconds: this machine's own lateness
@@ -119,6 +120,19 @@
             worst = max(worst, sum(now - cold.fall_s < at <= now for at in mine) - budget)
         return worst
 
+    def without(self) -> dict[str, float]:
+        """For each step the time without an acceptor, in ms: what the client waited that waited longest, of
+        those that came within `AFTER` of it and before the next. A client that nobody answered is not in it:
+        a process had accepted it."""
+        out: dict[str, float] = {}
+        steps = [(at, step) for at, step in self.done if not step.startswith("pass")]
+        for number, (at, step) in enumerate(steps):
+            end = min([at + AFTER, *(later for later, _ in steps[number + 1 : number + 2])])
+            waits = [c.answered - c.at for c in self.came if c.answer and at - EVERY <= c.at < end]
+            if waits:
+                out[step] = max(out.get(step, 0.0), round(1000 * max(waits), 1))
+        return out
+
     def figures(self) -> dict[str, Any]:
         """Counts, and what clients waited."""
         waits = sorted(c.answered - c.at for c in self.came if c.answer)
@@ -133,6 +147,7 @@
             "wait_most_ms": round(1000 * waits[-1], 1) if waits else None,
             "taken_back": sum("is silent for" in line for line in logs),
             "given_back": sum("gives back" in line for line in logs),
+            "without_ms": self.without(),
         }
 
 
--- /dev/null
+++ b/switchhub/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who else is there: SWIM with its published refinements, pure."""
