Peers: operator file, UDP and TCP in a thread of their own, /members and two commands

Need: the membership core has nothing to speak through, and nothing may be imported, opened or sent on the platform, which knows no operator file.

The phase of the process tells its followers; one that gives way falls silent, its successor is the same member. msgspec is an extra (requirements-peers.txt).

--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -12,6 +12,7 @@
 import os
 import signal
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     from switchhub.handover.taker import Taker
+    from switchhub.peers.node import Node
 
 LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 
@@ -37,20 +39,48 @@
     return await Taker.find(path, config.listen) if path else None
 
 
-async def serve(config: Config) -> None:
+def peers(config: Config) -> Node | None:
+    """This balancer among others, where an operator file says so; else nothing of it is imported."""
+    path = os.environ.get("SWITCHHUB_OPERATOR", "")
+    if not path:
+        return None
+    try:
+        from switchhub.operator_file import read
+    except ModuleNotFoundError as error:
+        raise ConfigError(
+            f"an operator file needs {error.name}: pip install -r requirements-peers.txt"
+        ) from None
+    told = read(Path(path))
+    if told.peers is None:
+        return None
+    from switchhub.peers.node import Node
+
+    return Node(told.peers, config.name)
+
+
+async def serve(config: Config, node: Node | None) -> None:
     """Run one balancer until a signal stops it."""
     listener = Listener(config, await taker(config))
+    if node is not None:
+        listener.lifecycle.followers.append(node.follow)
+        listener.pages["/members"] = node.members
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, listener.stop)
     loop.add_signal_handler(signal.SIGHUP, listener.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counters {}", listener.counters.line()))
-    await listener.run()
+    try:
+        await listener.run()
+    finally:
+        if node is not None:
+            node.close()
 
 
 def main() -> int:
     """The exit status: 0 after an ordered stop, 2 when the configuration does not serve."""
-    if len(sys.argv) > 1:
+    if len(sys.argv) == 3 and sys.argv[1] == "--operator":
+        os.environ["SWITCHHUB_OPERATOR"] = sys.argv[2]
+    elif len(sys.argv) > 1:
         from switchhub.cli import main as command  # a balancer that serves never needs it
 
         return command(sys.argv[1:])
@@ -65,12 +95,14 @@
     )
     try:
         config = read_config(os.environ)
+        node = peers(config)
     except ConfigError as error:
-        print(f"switchhub: {error}", file=sys.stderr)
+        for line in str(error).splitlines():
+            print(f"switchhub: {line}", file=sys.stderr)
         return 2
     gc.freeze()
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, node))
     except ConfigError as error:  # an address that can't be had
         print(f"switchhub: {error}", file=sys.stderr)
         return 2
--- a/switchhub/cli.py
+++ b/switchhub/cli.py
@@ -15,16 +15,23 @@
 
 from loguru import logger
 
-LAB_NEEDS = "the lab needs its libraries: pip install -r requirements-lab.txt"
+COMMANDS = {  # its module, and where its libraries are named
+    "lab": ("switchhub.lab.cli", "requirements-lab.txt"),
+    "check": ("switchhub.operator_file", "requirements-peers.txt"),
+    "members": ("switchhub.peers.cli", "requirements-peers.txt"),
+}
 
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="python -m switchhub",
-        description="Without arguments: start the balancer that BALANCER_CONFIG describes.",
+        description="Without arguments: start the balancer that BALANCER_CONFIG describes. With --operator "
+        "FILE: one that does what this file allows.",
         epilog="Examples:\n"
         "  python -m switchhub lab check lab/scenarios/calm.toml\n"
         "  python -m switchhub lab run lab/scenarios/hang.toml --seed 3 --json out.json\n"
+        "  python -m switchhub check deploy/operator.example.toml\n"
+        "  python -m switchhub members 127.0.0.1:9901 --watch\n"
         "  python -m switchhub lab table --seeds 1..5 --policies design,plain,oracle",
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
@@ -33,6 +40,8 @@
     commands.add_parser(
         "lab", help="play scenarios: a fleet in virtual time or on real sockets", add_help=False
     )
+    commands.add_parser("check", help="say what is wrong with an operator file", add_help=False)
+    commands.add_parser("members", help="who is there, as one balancer sees it", add_help=False)
     return parser
 
 
@@ -52,11 +61,13 @@
     """Run a sub-command; its exit status."""
     told, rest = _parser().parse_known_args(arguments)
     _log(told.log_json)
+    module, listed = COMMANDS[told.command]
     try:
-        command = importlib.import_module("switchhub.lab.cli")
+        command = importlib.import_module(module)
     except ModuleNotFoundError as error:
         if (error.name or "").startswith("switchhub"):
             raise
-        print(f"switchhub: {LAB_NEEDS} (no {error.name})", file=sys.stderr)
+        needs = f"{told.command} needs its libraries: pip install -r {listed} (no {error.name})"
+        print(f"switchhub: {needs}", file=sys.stderr)
         return 2
     return int(command.main(rest))
--- a/switchhub/lifecycle/phase.py
+++ b/switchhub/lifecycle/phase.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 
@@ -30,9 +31,22 @@
     """The state machine."""
 
     def __init__(self) -> None:
-        self.phase = Phase.STARTING
+        self.followers: list[Callable[[Phase], None]] = []  # told of each change; they may not wait
+        self._phase = Phase.STARTING
         self._begun = self._drained = self._yielded = False
 
+    @property
+    def phase(self) -> Phase:
+        """What it is."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase: Phase) -> None:
+        if phase is not self._phase:
+            self._phase = phase
+            for follower in self.followers:
+                follower(phase)
+
     @property
     def healthy(self) -> bool:
         """Whether this process is ready to serve."""
--- a/switchhub/management/calls.py
+++ b/switchhub/management/calls.py
@@ -6,13 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 
 class Managed(Protocol):
     """What is asked of a balancer here."""
 
+    @property
+    def pages(self) -> Mapping[str, Callable[[], str]]:
+        """Further paths, and what is read there; a page changes nothing."""
+
     def healthy(self) -> bool:
         """Whether this process is ready to serve."""
 
@@ -69,9 +73,12 @@
 
 def answer(node: Managed, method: str, target: str) -> Answer:
     """What becomes of this call; a query behind the path is passed over."""
-    calls = CALLS.get(target.partition("?")[0])
+    path = target.partition("?")[0]
+    calls = CALLS.get(path)
+    if calls is None and path in node.pages:
+        calls = {"GET": lambda node: Answer(200, node.pages[path]())}
     if calls is None:
-        return Answer(404, f"no such path; there are {', '.join(CALLS)}\n")
+        return Answer(404, f"no such path; there are {', '.join([*CALLS, *node.pages])}\n")
     call = calls.get(method)
     if call is None:
         allow = ", ".join(calls)
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -15,7 +15,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -92,6 +92,7 @@
         self._management: Management | None = None
         self._taker = taker
         self._giver: Giver | None = None
+        self.pages: dict[str, Callable[[], str]] = {}  # what else staff may read at the management address
         self.links: list[Link] = []  # the pairs with other processes of this balancer
         room = 0
         if config.management is not None:  # not imported where it is not wanted
--- /dev/null
+++ b/switchhub/operator_file.py
@@ -0,0 +1,169 @@
+"""The operator file: what an installation allows beyond the platform. TOML in; settings or all faults out.
+
+Owns: its sections, keys, defaults and checks. Must never: be read by a balancer that was not given one, stop
+at the first fault, or know what the settings are used for.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import sys
+import tomllib
+from collections import Counter
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct
+
+from switchhub.net.config import Address, ConfigError, parse_address
+
+Milliseconds = Annotated[int, Meta(ge=10, le=60_000)]
+Seconds = Annotated[int, Meta(ge=1, le=86_400)]
+T = TypeVar("T", bound=Struct)
+_KINDS = {
+    "str": "a text",
+    "int": "a whole number",
+    "array": "a list",
+    "object": "a table",
+    "bool": "true or false",
+}
+
+
+class Peers(Struct, frozen=True):
+    """`[peers]`: the balancers know each other."""
+
+    cluster: Annotated[str, Meta(min_length=1, max_length=64)]
+    listen: str  # UDP and TCP, on a private network
+    advertise: str = ""  # what the others are told; `listen` if empty
+    seeds: list[str] = []  # others to call on at the start, any that are up
+    period_ms: Milliseconds = 250  # between two members asked
+    timeout_ms: Milliseconds = 100  # in which an answer is due before others are sent
+    suspicion_ms: Milliseconds = 1000  # that a suspicion lasts at least, among up to ten
+    call_ms: Milliseconds = 1000  # between two calls on one of the dead
+    whole_s: Seconds = 10  # between two exchanges of all beliefs
+    remember_s: Seconds = 600  # the dead
+
+    @property
+    def address(self) -> str:
+        """What the others are told."""
+        return self.advertise or self.listen
+
+
+class Operator(Struct, frozen=True):
+    """All sections; one that is not there is off."""
+
+    peers: Peers | None = None
+
+
+class OperatorError(ConfigError):
+    """A file that does not serve: a line for each fault."""
+
+    def __init__(self, faults: list[str]) -> None:
+        """All of them."""
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+def read(path: Path) -> Operator:
+    """The file, or `OperatorError` with all that is wrong with it."""
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise OperatorError([f"{path}: {error}"]) from None
+    faults: list[str] = []
+    sections: dict[str, Any] = {}
+    for name, value in data.items():
+        if name not in SECTIONS:
+            faults.append(f"{name}: expected one of {', '.join(SECTIONS)}")
+        elif not isinstance(value, dict):
+            faults.append(f"{name}: expected a table, [{name}]")
+        else:
+            kind, check = SECTIONS[name]
+            found = _section(name, kind, value, faults)
+            if found is not None:
+                faults += check(found)
+                sections[name] = found
+    if faults:
+        raise OperatorError([f"{path}: {fault}" for fault in faults])
+    return Operator(**sections)
+
+
+def _section(name: str, kind: type[T], data: dict[str, Any], faults: list[str]) -> T | None:
+    """One section, key by key, so that all faults are found."""
+    before = len(faults)
+    values: dict[str, Any] = {}
+    fields = {each.name: each for each in msgspec.structs.fields(kind)}
+    for key, value in data.items():
+        if key not in fields:
+            faults.append(f"{name}.{key}: expected one of {', '.join(fields)}")
+            continue
+        try:
+            values[key] = msgspec.convert(value, fields[key].type)
+        except msgspec.ValidationError as error:
+            said = str(error).replace("Expected", "expected")
+            for word, plain in _KINDS.items():
+                said = said.replace(f"`{word}`", plain)
+            faults.append(f"{name}.{key} = {value!r}: {said}")
+    for key, each in fields.items():
+        if each.required and key not in data:
+            faults.append(f"{name}.{key}: expected, and not there")
+    return kind(**values) if len(faults) == before else None
+
+
+def _address(path: str, text: str, faults: list[str], any_host: bool = False) -> Address | None:
+    try:
+        host, port = parse_address(text)
+        if not ipaddress.IPv4Address(host).is_unspecified or any_host:
+            if port:
+                return host, port
+            faults.append(f"{path} = {text!r}: expected a port other than 0")
+            return None
+    except (ConfigError, ValueError):
+        pass
+    faults.append(f"{path} = {text!r}: expected an address, as 10.0.0.5:7946")
+    return None
+
+
+def _check_peers(told: Peers) -> list[str]:
+    faults: list[str] = []
+    _address("peers.listen", told.listen, faults, any_host=bool(told.advertise))
+    if told.advertise:
+        _address("peers.advertise", told.advertise, faults)
+    for number, seed in enumerate(told.seeds):
+        _address(f"peers.seeds[{number}]", seed, faults)
+    for seed, count in Counter(told.seeds).items():
+        if count > 1:
+            faults.append(f"peers.seeds: expected each once, {seed!r} stands there {count} times")
+    if told.seeds and set(told.seeds) == {told.address}:
+        faults.append(f"peers.seeds = {told.seeds!r}: expected another balancer than this one alone")
+    if 2 * told.timeout_ms > told.period_ms:
+        faults.append(
+            f"peers.timeout_ms = {told.timeout_ms}: expected at most half of period_ms = {told.period_ms}"
+        )
+    if told.suspicion_ms < 2 * told.period_ms:
+        faults.append(
+            f"peers.suspicion_ms = {told.suspicion_ms}: expected twice period_ms = {told.period_ms} or more"
+        )
+    if told.remember_s * 1000 < 10 * told.suspicion_ms:
+        faults.append(
+            f"peers.remember_s = {told.remember_s}: expected 10 x suspicion_ms = {told.suspicion_ms} or more"
+        )
+    return faults
+
+
+SECTIONS: dict[str, tuple[type[Any], Any]] = {"peers": (Peers, _check_peers)}
+
+
+def main(arguments: list[str]) -> int:
+    """`check FILE`: 0, or 2 with every fault."""
+    if len(arguments) != 1:
+        print("usage: python -m switchhub check FILE", file=sys.stderr)
+        return 2
+    try:
+        read(Path(arguments[0]))
+    except OperatorError as error:
+        print(error, file=sys.stderr)
+        return 2
+    print(f"{arguments[0]}: serves")
+    return 0
--- /dev/null
+++ b/switchhub/peers/node.py
@@ -0,0 +1,353 @@
+"""This balancer among the others: one UDP socket, connections for whole beliefs, and a thread of its own.
+
+Owns: both sockets at the peers' address, the thread, the clock that the core is given (CLOCK_MONOTONIC).
+Must never: decide who is there (`membership.core` does), take what does not decode for more than a number, or
+keep the balancer from serving: an address that is taken is asked for again, and said.
+
+Danger: in a storm of clients the main loop stands still for longer than an answer may take, so this runs in a
+thread. What other threads want, they read under the lock, which is held for one message or one look.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
+
+import uvloop
+from loguru import logger
+
+from switchhub.lifecycle.phase import Phase
+from switchhub.membership.core import Change, Membership, Options
+from switchhub.membership.messages import Message, State, Whole
+from switchhub.net.config import ConfigError, parse_address
+from switchhub.operator_file import Peers
+from switchhub.peers.form import DATAGRAM, WHOLE, FormError, pack, unpack
+
+AT_ONCE = 64  # datagrams read before anything else has its turn
+LISTENERS, TALKERS = 32, 16  # connections taken in and made at a time
+WITHIN = 2.0  # seconds for one connection
+AGAIN = 0.1  # seconds until an address that is taken is asked for again
+NAME_MOST = 48  # bytes of a name
+ROUND = 0.5  # seconds that the thread may take to end
+
+
+class Node:
+    """The thread, and what it owns."""
+
+    def __init__(self, told: Peers, name: str) -> None:
+        if not 0 < len(name.encode()) <= NAME_MOST or "~" in name:
+            raise ConfigError(
+                f"name={name!r}: expected 1 to {NAME_MOST} bytes without '~' where there are peers"
+            )
+        self._told, self._name = told, name
+        self._listen = parse_address(told.listen)
+        period = told.period_ms / 1000
+        self._options = Options(
+            period=period,
+            timeout=told.timeout_ms / 1000,
+            suspicion=told.suspicion_ms / told.period_ms,
+            call=told.call_ms / 1000,
+            whole=float(told.whole_s),
+            remember=float(told.remember_s),
+        )
+        self.counts: Counter[str] = Counter()
+        self._lock = threading.Lock()
+        self._core: Membership | None = None
+        self._wanted = False
+        self._udp: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._talks = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._since = 0.0
+        self._loop = uvloop.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+        self._thread.start()
+
+    # From the main thread.
+
+    def follow(self, phase: Phase) -> None:
+        """The process has become this: one that serves is a member; one that gave way is not, and says
+        nothing, for its successor is the same member."""
+        if phase in (Phase.READY, Phase.DRAINING):
+            self._loop.call_soon_threadsafe(self._want, True)
+        elif phase is Phase.GIVING_WAY:
+            self._loop.call_soon_threadsafe(self._want, False)
+
+    def close(self) -> None:
+        """The process ends: the others hear that it leaves, unless it gave way."""
+        self._loop.call_soon_threadsafe(self._leave)
+        self._thread.join(ROUND)
+
+    def members(self) -> str:
+        """Who is there, as JSON."""
+        with self._lock:
+            return json.dumps(self._rows(), indent=1) + "\n"
+
+    def _rows(self) -> dict[str, object]:
+        core, now = self._core, time.monotonic()
+        if core is None:
+            return {
+                "name": self._name,
+                "incarnation": 0,
+                "view": "alone",
+                "members": [],
+                "counts": dict(self.counts),
+            }
+        rows = [_row(core.name, State.ALIVE, core.incarnation, now - self._since, "this one")]
+        for name, each in sorted(core.members.items()):
+            rows.append(_row(name, each.news.state, each.news.incarnation, now - each.since, each.why))
+        return {
+            "name": core.name,
+            "incarnation": core.incarnation,
+            "view": core.view,
+            "members": rows,
+            "counts": {**core.counts, **self.counts},
+        }
+
+    # The thread.
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_forever()
+        finally:
+            self._shut()
+            self._loop.close()
+
+    def _want(self, wanted: bool) -> None:
+        if wanted is self._wanted:
+            return
+        self._wanted = wanted
+        if wanted:
+            self._start(self._serve())
+        else:
+            self._shut()
+
+    def _leave(self) -> None:
+        with self._lock:
+            if self._core is not None and self._udp is not None:
+                self._core.leave(time.monotonic())
+                self._flush()
+        self._loop.stop()
+
+    def _shut(self) -> None:
+        """Not a member any more, as far as this process goes."""
+        for task in self._tasks:
+            task.cancel()
+        if self._udp is not None:
+            self._loop.remove_reader(self._udp)
+            self._udp.close()
+            self._udp = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        with self._lock:
+            self._core = None
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self) -> None:
+        """Have the address, as soon as it is to be had, and be a member."""
+        said = False
+        while True:
+            try:
+                udp, tcp = self._bound()
+                break
+            except OSError as error:
+                if not said:
+                    logger.warning("peers: {} can't be had yet: {}", self._told.listen, error)
+                said = True
+                self.counts["address_taken"] += 1
+                await asyncio.sleep(AGAIN)
+        now = time.monotonic()
+        with self._lock:
+            self._since = now
+            life, seed = int.from_bytes(os.urandom(4)), int.from_bytes(os.urandom(8))
+            seeds = tuple(self._told.seeds)
+            self._core = Membership(self._name, self._told.address, life, seeds, self._options, seed, now)
+        self._udp = udp
+        logger.info("peers: {} of {} at {}", self._name, self._told.cluster, self._told.listen)
+        self._loop.add_reader(udp, self._readable)
+        self._turn()
+        with tcp:
+            while True:
+                try:
+                    sock, _ = await self._loop.sock_accept(tcp)
+                except OSError:
+                    await asyncio.sleep(AGAIN)
+                    continue
+                if len(self._tasks) > LISTENERS + TALKERS:
+                    self.counts["connections_refused"] += 1
+                    sock.close()
+                else:
+                    self._start(self._hear(sock))
+
+    def _bound(self) -> tuple[socket.socket, socket.socket]:
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            for sock in (udp, tcp):
+                sock.setblocking(False)
+                sock.bind(self._listen)
+            tcp.listen(LISTENERS)
+        except OSError:
+            udp.close()
+            tcp.close()
+            raise
+        return udp, tcp
+
+    def _readable(self) -> None:
+        for _ in range(AT_ONCE):
+            if self._udp is None:
+                return
+            try:
+                data = self._udp.recv(65536)
+            except OSError:  # nothing more, or the path told of an error
+                return
+            self.counts["datagrams_in"] += 1
+            self.counts["bytes_in"] += len(data)
+            self._heard(data, whole=False)
+
+    def _heard(self, data: bytes, whole: bool) -> None:
+        """Some bytes; whatever they are, at most a counter changes unless they are a message."""
+        try:
+            message = unpack(self._told.cluster, data)
+            if isinstance(message, Whole) is not whole:
+                raise FormError("garbage")
+        except FormError as error:
+            self.counts[error.kind] += 1
+            return
+        with self._lock:
+            if self._core is not None:
+                self._core.receive(time.monotonic(), message)
+                self._flush()
+
+    def _turn(self) -> None:
+        self._timer = None
+        with self._lock:
+            if self._core is not None:
+                self._core.turn(time.monotonic())
+                self._flush()
+
+    def _flush(self) -> None:
+        """Send what the core has to say, write down what has changed, and wake when it is due."""
+        core = self._core
+        assert core is not None
+        out, core.out = core.out, []
+        for address, message in out:
+            if isinstance(message, Whole):
+                self._talk(address, message)
+            else:
+                self._send(address, message)
+        for change in core.changes:
+            _log(change)
+        core.changes.clear()
+        due = core.deadline()
+        if due == float("inf") or (self._timer is not None and self._timer_at <= due):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = self._loop.call_later(max(0.0, due - time.monotonic()), self._turn)
+
+    def _send(self, address: str, message: Message) -> None:
+        data = pack(self._told.cluster, message)
+        if len(data) > DATAGRAM or self._udp is None:
+            self.counts["too_long"] += 1
+            return
+        try:
+            self._udp.sendto(data, parse_address(address))
+            self.counts["datagrams_out"] += 1
+            self.counts["bytes_out"] += len(data)
+        except (
+            OSError,
+            ConfigError,
+            OverflowError,
+        ):  # no way there, a full buffer, no address: as if it were lost
+            self.counts["not_sent"] += 1
+
+    def _talk(self, address: str, message: Whole) -> None:
+        if self._talks >= TALKERS:
+            self.counts["connections_refused"] += 1
+            return
+        self._talks += 1
+        self._start(self._say(address, pack(self._told.cluster, message)))
+
+    async def _say(self, address: str, data: bytes) -> None:
+        """A connection from our own address, one message, and its end."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.bind((self._listen[0], 0))
+            async with asyncio.timeout(WITHIN):
+                await self._loop.sock_connect(sock, parse_address(address))
+                await self._loop.sock_sendall(sock, data)
+                sock.shutdown(socket.SHUT_WR)
+                await self._loop.sock_recv(sock, 1)  # its end: it has read all
+            self.counts["wholes_out"] += 1
+            self.counts["bytes_out"] += len(data)
+        except (OSError, TimeoutError, ConfigError, OverflowError):
+            self.counts["not_said"] += 1
+        finally:
+            self._talks -= 1
+            sock.close()
+
+    async def _hear(self, sock: socket.socket) -> None:
+        """One message to the end of its connection; nothing that is too long or too slow."""
+        data = bytearray()
+        try:
+            sock.setblocking(False)
+            async with asyncio.timeout(WITHIN):
+                while piece := await self._loop.sock_recv(sock, 65536):
+                    data += piece
+                    if len(data) > WHOLE:
+                        break
+                else:
+                    self.counts["wholes_in"] += 1
+                    self.counts["bytes_in"] += len(data)
+                    self._heard(bytes(data), whole=True)
+                    return
+            self.counts["too_long"] += 1
+        except (OSError, TimeoutError):
+            self.counts["not_heard"] += 1
+        finally:
+            with contextlib.suppress(OSError):
+                sock.close()
+
+
+def _row(name: str, state: State, incarnation: int, seconds: float, why: str) -> dict[str, object]:
+    return {
+        "name": name,
+        "state": state.name.lower(),
+        "incarnation": incarnation,
+        "since_ms": round(seconds * 1000),
+        "why": why,
+    }
+
+
+def _log(change: Change) -> None:
+    before = "unknown" if change.before is None else change.before.name.lower()
+    witnesses = f"; witnesses {', '.join(change.witnesses)}" if change.witnesses else ""
+    say = logger.error if "two processes" in change.why else logger.info
+    say(
+        "peers: {} {} -> {} (incarnation {}): {}{}",
+        change.name,
+        before,
+        change.after.name.lower(),
+        change.incarnation,
+        change.why,
+        witnesses,
+    )
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 
 import pytest
 from hypothesis import given
@@ -24,6 +25,7 @@
 
     def __init__(self) -> None:
         self.drains, self.draining, self.stopping = 0, False, False
+        self.pages: dict[str, Callable[[], str]] = {}
 
     def healthy(self) -> bool:
         return not self.draining
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -334,9 +334,9 @@
     world.run(3.0)
     # It suspects somebody, stands still, and buries it when it wakes, before it has read the refutation.
     member = world.all["n2"]
-    suspect = member.members["n4"].news
+    known = member.members["n4"].news
     member._apply(
-        News(*(getattr(suspect, f) for f in suspect.__struct_fields__[:4]), State.SUSPECT, "n2"), 3.0, ""
+        News(known.name, known.address, known.life, known.incarnation, State.SUSPECT, "n2"), 3.0, ""
     )
     world.pause("n2", 5.0)
     member.turn(8.0)
