--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -1,4 +1,5 @@
-"""`python -m switchhub lab ...`: check, run, table, compare, engines, hunt, plot, perf, storm, upgrades.
+"""`python -m switchhub lab ...`: check, run, table, compare, engines, hunt, plot, perf, storm,
+upgrades, faults.
 
 Owns: the arguments, what is printed and the exit status: 0, 1 when a rule is broken, 2 for wrong use or a
 file that does not serve. Must never: start anything before every file named is checked whole.
@@ -160,6 +161,19 @@
     one.add_argument("--shrink", action="store_true", help="look for less of a plan that still goes wrong")
     one.add_argument("--json", type=new_file, metavar="FILE")
 
+    one = verb(
+        "faults",
+        "several balancers that know each other, with faults of and between them: run, hunt, replay, shrink",
+        "faults run lab/faults/split.toml",
+    )
+    one.add_argument("what", choices=("run", "hunt", "replay", "shrink"))
+    one.add_argument("files", nargs="*", type=Path, metavar="FILE", help="plans; with replay, records")
+    one.add_argument("--seeds", type=seeds, default=[], help="with hunt: draw a plan from each of these")
+    one.add_argument("--balancers", type=int, default=5, help="with hunt: how many, from 3 to 40")
+    one.add_argument("--at-once", type=int, default=2, help="plays side by side")
+    one.add_argument("--shrink", action="store_true", help="with hunt: make what goes wrong small")
+    one.add_argument("--json", type=new_file, metavar="FILE")
+
     one = verb("perf", "what the balancer itself costs", "perf --json perf.json")
     one.add_argument(
         "--against", type=checkout, metavar="DIR", help="beside another checkout, in the same run"
@@ -333,6 +347,33 @@
     return 1 if any(each["faults"] for each in found) else 0
 
 
+def _faults(told: argparse.Namespace) -> int:
+    from switchhub.lab.faults import fleet, hunt
+    from switchhub.lab.faults.stage import PlanError
+
+    if not 3 <= told.balancers <= 40:
+        raise argparse.ArgumentTypeError(f"--balancers {told.balancers}: expected 3 to 40")
+    if told.what == "hunt" and not told.seeds:
+        raise argparse.ArgumentTypeError("hunt: expected --seeds")
+    try:
+        if told.what == "replay":
+            plans = [plan for path in told.files for plan in hunt.replayed(path)]
+        else:
+            plans = [fleet.read(path.read_text(encoding="utf-8"), str(path)) for path in told.files]
+            plans += [hunt.drawn(seed, told.balancers) for seed in told.seeds]
+    except (PlanError, OSError, UnicodeDecodeError) as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+    if not plans:
+        raise argparse.ArgumentTypeError(f"{told.what}: expected a file")
+    if told.what == "shrink":
+        for plan in plans:
+            print(hunt.shrunk(plan).toml())
+        return 0
+    found = hunt.run(plans, told.at_once, told.shrink)
+    write(told.json, found)
+    return 1 if any(each["faults"] for each in found) else 0
+
+
 VERBS: dict[str, Callable[[argparse.Namespace], int]] = {
     "check": _check,
     "run": _run,
@@ -344,6 +385,7 @@
     "perf": _perf,
     "storm": _storm,
     "upgrades": _upgrades,
+    "faults": _faults,
 }
 
 
--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -8,6 +8,8 @@
 
     kill A, stop A, wake A, term A   SIGKILL, SIGSTOP, SIGCONT, SIGTERM
     start A [RATE[,SECONDS,JUMP]]    again, or under a wrong clock (`clock.py`)
+    upgrade A                        a new process beside the old one, which is told to end once that serves
+    take A, give A                   its peers' address is another's; and is free again
     choke A, free A                  no further descriptor; as many as before
     slow A                           a core shared with one that never rests
     garbage A                        bytes of all kinds at its peers' address, past the links
@@ -28,6 +30,7 @@
 import asyncio
 import json
 import shutil
+import signal
 import socket
 import tempfile
 import tomllib
@@ -54,17 +57,15 @@
 LOOK = 0.05  # seconds between two looks at what a process says
 NAMES = {  # how many lists of names a step has
     **dict.fromkeys(("heal", "agree"), 0),
-    **dict.fromkeys(
-        ("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "garbage", "storm"), 1
-    ),
-    **dict.fromkeys(("view", "none"), 1),
+    **dict.fromkeys(("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "upgrade"), 1),
+    **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give"), 1),
     **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold", "say"), 2),
 }
 FIGURES = {  # and how many figures or words at least
     **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none"), 1),
     **dict.fromkeys(("say", "view"), 2),
 }
-WAITS = ("heal", "agree", "view", "none", "say", "free")  # all others are troubles
+WAITS = ("heal", "agree", "view", "none", "say", "free", "give")  # all others are troubles
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +216,7 @@
         self._folder = folder
         self._between = Between(seed)
         self._serving: list[str] = []
+        self._taken: dict[str, socket.socket] = {}
         rig = f"{self._net.rsplit('.', 1)[0]}.{int(self._net.rsplit('.', 1)[1]) + 1}"
         self._own = {name: f"{self._net}.{number + 1}" for number, name in enumerate(self.names)}
         self._stands = {name: f"{rig}.{number + 1}" for number, name in enumerate(self.names)}
@@ -249,6 +251,8 @@
             self.record.passed = {f"{a}>{b}": size for (a, b), size in self._between.passed.items()}
         finally:
             self._between.close()
+            for sock in self._taken.values():
+                sock.close()
             await self._end()
         return self.record
 
@@ -288,6 +292,16 @@
                 )
         elif verb == "start":
             await self._start_all(named[0], rest[0] if rest else "")
+        elif verb == "upgrade":
+            for name in named[0]:
+                await self._upgrade(name)
+        elif verb == "take":
+            for name in named[0]:
+                self._taken[name] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                self._taken[name].bind((self._own[name], self._peers_port))
+        elif verb == "give":
+            for name in named[0]:
+                self._taken.pop(name).close()
         elif verb in ("choke", "free"):
             for name in named[0]:
                 self._limit(name, verb == "choke")
@@ -344,6 +358,16 @@
         await self._until(lambda: any("listens on" in line for line in self.record.logs[name][before:]), 60.0)
         self._serving.append(name)
 
+    async def _upgrade(self, name: str) -> None:
+        """As staff do it. Afterwards the name means the new process."""
+        old = self._processes[name]
+        before = len(self.record.logs[name])
+        await self._start_all([name], "")
+        await self._until(lambda: any("listens on" in line for line in self.record.logs[name][before:]))
+        old.send_signal(signal.SIGTERM)
+        await self._until(lambda: old.returncode is not None)
+        self.record.ended.pop(name, None)  # the old one's
+
     async def _garbage(self, name: str) -> None:
         """What a broken or strange sender may send, past the links: it must change nothing but counters."""
         rng = Random(f"garbage/{name}")
--- a/switchhub/lab/faults/upgrades.py
+++ b/switchhub/lab/faults/upgrades.py
@@ -30,6 +30,7 @@
 from random import Random
 from typing import Any
 
+from switchhub.lab.faults.hunt import smaller
 from switchhub.lab.faults.stage import (
     HOLDS,
     SIGNALS,
@@ -299,15 +300,14 @@
 
 def shrunk(plan: str, tries: int = 3) -> str:
     """Less of a plan that still goes wrong in one of so many plays: steps are left out one by one."""
-    steps = plan.split("; ")
-    at = len(steps) - 1
-    while at >= 2:  # the first process stays
-        less = [*steps[:at], *steps[at + 1 :]]
-        with contextlib.suppress(KeyError):  # it names a process that is not there any more
-            if any(record.faults() for record in play_all(["; ".join(less)] * tries, tries)):
-                steps = less
-        at -= 1
-    return "; ".join(steps)
+
+    def fails(steps: list[str]) -> bool:
+        try:
+            return any(record.faults() for record in play_all(["; ".join(steps)] * tries, tries))
+        except KeyError:  # it names a process that is not there any more
+            return False
+
+    return "; ".join(smaller(plan.split("; "), fails, keep=2))  # the first process stays
 
 
 def run(plans: list[str], at_once: int, shrink: bool) -> list[dict[str, Any]]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -31,6 +31,10 @@
     "only small datagrams pass, and no connection": (
         5, "narrow * * 150", "hold * *", "3000", "say * * alive 1", "heal", "agree 3",
     ),
+    "an upgrade is one member": (5, "upgrade n1", "agree 3", "upgrade n1,n2", "agree 3", "say * * alive 1"),
+    "the peers' address is taken for a while": (
+        5, "kill n1", "take n1", "start n1", "say -n1 n1 dead 4", "give n1", "agree 4",
+    ),
     "told to end it has left": (5, "term n3", "say -n3 n3 left 2", "agree 2", "start n3", "agree 4"),
     "one after another is killed and started again": (
         5, "kill n0", "start n0", "agree 4", "kill n1", "start n1", "agree 4", "kill n2", "start n2",
