A balancer without descriptors keeps its places for talks with other balancers

Read beside it: the first of two sockets leaked where the second could not be had.

Change: both are made within what closes them.

--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -195,18 +195,15 @@
                     self._start(self._hear(sock))
 
     def _bound(self) -> tuple[socket.socket, socket.socket]:
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
+        with contextlib.ExitStack() as opened:
+            udp = opened.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            tcp = opened.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             for sock in (udp, tcp):
                 sock.setblocking(False)
                 sock.bind(self._listen)
             tcp.listen(LISTENERS)
-        except OSError:
-            udp.close()
-            tcp.close()
-            raise
+            opened.pop_all()  # both are to be had: they stay open
         return udp, tcp
 
     def _readable(self) -> None:
@@ -288,22 +285,21 @@
 
     async def _say(self, address: str, data: bytes) -> None:
         """A connection from our own address, one message, and its end."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            sock.bind((self._listen[0], 0))
-            async with asyncio.timeout(WITHIN):
-                await self._loop.sock_connect(sock, parse_address(address))
-                await self._loop.sock_sendall(sock, data)
-                sock.shutdown(socket.SHUT_WR)
-                await self._loop.sock_recv(sock, 1)  # its end: it has read all
+        try:  # Danger: without descriptors there is no socket either, and each such call would hold a place
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+                sock.setblocking(False)
+                sock.bind((self._listen[0], 0))
+                async with asyncio.timeout(WITHIN):
+                    await self._loop.sock_connect(sock, parse_address(address))
+                    await self._loop.sock_sendall(sock, data)
+                    sock.shutdown(socket.SHUT_WR)
+                    await self._loop.sock_recv(sock, 1)  # its end: it has read all
             self.counts["wholes_out"] += 1
             self.counts["bytes_out"] += len(data)
         except (OSError, TimeoutError, ConfigError, OverflowError):
             self.counts["not_said"] += 1
         finally:
             self._talks -= 1
-            sock.close()
 
     async def _hear(self, sock: socket.socket) -> None:
         """One message to the end of its connection; nothing that is too long or too slow."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,6 +43,10 @@
     "one without descriptors, one on a slow core": (
         5, "choke n1", "slow n2", "3000", "say n0,n3,n4 n0,n2,n3,n4 alive 3", "free n1", "agree 5",
     ),
+    "one without descriptors is to speak to one that is back": (
+        5, "kill n3", "say -n3 n3 dead 4", "choke n1", "start n3", "say n0 n3 alive 4", "2500", "free n1",
+        "agree 8",
+    ),
     "bytes of all kinds": (5, "garbage n0,n1", "agree 3", "1000", "say * * alive 1"),
     "clocks that run apart, and one that steps by an hour": (
         5, "kill n1,n2,n3", "start n1 1.05", "start n2 0.95", "start n3 1.0,4,3600", "agree 6", "4000",
