Leases: voters and askers as pure parts, every order of events of three and two explored

Need: a duty that only one balancer may hold has to pass on when its holder stalls or is cut off, and membership can't decide that: two sides of a split each see a consistent world.

Design (docs/leases.md): a majority of fixed voters, no disk (PaxosLease), with a question that changes nothing in place of its prepare phase; the holder counts from when it sent, the voter keeps its word for longer by twice the drift; a voter that has forgotten is silent for a lease and only then learns tokens. Ways not taken: Raft with a log, one leader for all leases, K holders counted at the voters (three of K = 2 can have a majority each), tokens from the wall clock.

Ruled out while exploring: one fault in a step and leases of one second find neither a voter that takes clocks for equal nor a holder that counts from the answer; so whole cuts, lags and echoes are single events, and those two are sought with leases of three and six seconds.

Not carried by the peers yet.

--- /dev/null
+++ b/switchhub/leases/asker.py
@@ -0,0 +1,346 @@
+"""What one balancer wants to hold and holds: asking, bidding, renewing, letting go, handing on.
+
+Owns: for each name that it wants, how far it is, under which token it holds, and until when by its own clock.
+Must never: do I/O, read a clock, say that it holds a name for longer than the word of a majority, or ask a
+voter twice for what one message can say of all names.
+
+A name is held until `sent + length - margin`, `sent` being when the request was sent that the majority's last
+confirming voter had; whoever acts looks at the time before (`held`).
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from switchhub.leases.messages import (
+    Answer,
+    Ask,
+    Bid,
+    Drop,
+    Dropped,
+    Message,
+    Pass,
+    Renew,
+    Renewed,
+    Send,
+    Told,
+    Who,
+)
+from switchhub.leases.rules import JUMP, Terms, mark
+from switchhub.membership.lot import Lot
+
+WITHIN = 0.3  # seconds in which the voters' answers are due
+AGAIN = 0.1  # seconds between two tries at least, for lots and for what is repeated
+TRIES = 30  # times at most that a word which frees a name is said
+FIXES = 32  # names that are told to one voter once more in one go
+
+
+class Event(NamedTuple):
+    """Something has become of a name."""
+
+    lease: str
+    what: str  # held, raised, weak, lost, released, handed on
+    token: int
+    why: str
+
+
+@dataclass(slots=True)
+class Votes:
+    """What the voters have said to one token."""
+
+    token: int
+    seq: int
+    sent: float
+    due: float  # when answers are overdue
+    mark: int
+    yes: dict[str, float] = field(default_factory=dict)  # by voter, when what it confirmed was sent
+    no: set[str] = field(default_factory=set)
+    until: float = -math.inf  # to which a majority has confirmed it
+
+
+@dataclass(slots=True)
+class Want:
+    """One name."""
+
+    lease: str
+    at: float  # when it is asked for, or when answers are overdue
+    asking: int = 0  # the number of the question that is out
+    told: dict[str, Told] = field(default_factory=dict)  # by voter, in this try
+    bid: Votes | None = None  # what is out
+    hold: Votes | None = None  # what is held
+    tries: int = 0
+    weak: bool = False
+
+    @property
+    def state(self) -> str:
+        """For people."""
+        if self.hold is not None:
+            return "weak" if self.weak else "held"
+        return "bidding" if self.bid is not None else "asking" if self.asking else "waiting"
+
+
+@dataclass(slots=True)
+class Gone:
+    """A token that is over, until the voters have heard so."""
+
+    lease: str
+    token: int
+    heir: str
+    left: set[str]  # voters
+    at: float
+    tries: int = 0
+    seq: int = 0
+
+
+class Asker:
+    """See the file's head."""
+
+    def __init__(self, me: Who, terms: Terms, seed: int, now: float) -> None:
+        self.me, self.terms = me, terms
+        self.out: list[Send] = []
+        self.events: list[Event] = []
+        self.wants: dict[str, Want] = {}
+        self.known: dict[str, int] = {}  # the highest token heard of, by name
+        self._lot = Lot(seed)
+        self._seq = 0
+        self._gone: list[Gone] = []
+        self._renew_at = math.inf
+        self._renews: dict[int, float] = {}  # rounds that are out, and when they were sent
+        self._began = now
+
+    # What is asked of it.
+
+    def want(self, lease: str, now: float) -> None:
+        """Hold it, as soon as that can be, for as long as that can be."""
+        if lease not in self.wants:
+            self.wants[lease] = Want(lease, now)
+
+    def release(self, lease: str, now: float, heir: str = "", address: str = "") -> None:
+        """Let it go: to an heir, or to whoever asks. It is not held from this moment on."""
+        want = self.wants.pop(lease, None)
+        if want is None:
+            return
+        if want.bid is not None:
+            self._free(lease, want.bid.token, "", now)
+        if want.hold is not None:
+            what = f"handed on to {heir}" if heir else "released"
+            self.events.append(Event(lease, "handed on" if heir else "released", want.hold.token, what))
+            self._free(lease, want.hold.token, heir, now)
+            if address:
+                self._seq += 1
+                self._say(address, Pass(self._seq, self.me, lease, want.hold.token))
+
+    def held(self, lease: str, now: float) -> int | None:
+        """Its token, if it is held at this moment; to be asked before each effect and after each wait."""
+        want = self.wants.get(lease)
+        if want is None or want.hold is None or now >= want.hold.until:
+            return None
+        return want.hold.token
+
+    def left(self, lease: str, now: float) -> float:
+        """Seconds for which it is held still."""
+        want = self.wants.get(lease)
+        return 0.0 if want is None or want.hold is None else max(0.0, want.hold.until - now)
+
+    def _confirm(self, votes: Votes, voter: str, sent: float) -> None:
+        """Danger: counted from when the answer came, a lease would outlive the word it stands on."""
+        votes.yes[voter] = max(sent, votes.yes.get(voter, -math.inf))
+        if len(votes.yes) >= self.terms.majority:  # of these the majority's last ends first
+            last = sorted(votes.yes.values(), reverse=True)[self.terms.majority - 1]
+            votes.until = last + self.terms.length - self.terms.margin
+
+    # Time.
+
+    def deadline(self) -> float:
+        """When `turn` is due at the latest."""
+        due = self._renew_at
+        for want in self.wants.values():
+            if want.bid is not None:
+                due = min(due, want.bid.due)
+            due = min(due, want.at if want.hold is None else want.hold.until)
+        for gone in self._gone:
+            due = min(due, gone.at)
+        return due
+
+    def turn(self, now: float) -> None:
+        """Do what is due."""
+        for want in list(self.wants.values()):
+            if want.hold is not None and now >= want.hold.until:
+                self._lose(want, now)
+            if want.bid is not None and now >= want.bid.due:
+                self._give_up(want, now)
+            elif want.hold is None and want.bid is None and now >= want.at:
+                if want.asking:
+                    self._later(want, now, AGAIN)
+                else:
+                    self._ask(want, now)
+        if now >= self._renew_at:
+            self._renew(now)
+        for gone in self._gone:
+            if now >= gone.at:
+                self._say_gone(gone, now)
+        self._gone = [gone for gone in self._gone if gone.left and gone.tries < TRIES]
+
+    def _lose(self, want: Want, now: float) -> None:
+        assert want.hold is not None
+        token, want.hold, want.weak = want.hold.token, None, False
+        self.events.append(Event(want.lease, "lost", token, "no majority has confirmed it in time"))
+        self._free(want.lease, token, "", now)
+        if want.bid is None:
+            self._later(want, now, AGAIN)
+
+    def _later(self, want: Want, now: float, wait: float) -> None:
+        """Try again after that, and a lot: candidates that wait alike meet again and again."""
+        want.tries += 1
+        want.asking, want.told = 0, {}
+        want.at = now + wait + self._lot.part() * AGAIN * min(8, want.tries)
+
+    def _ask(self, want: Want, now: float) -> None:
+        self._seq += 1
+        want.asking, want.at, want.told = self._seq, now + WITHIN, {}
+        self._all(Ask(self._seq, self.me, want.lease, self.known.get(want.lease, 0)))
+
+    def _bid(self, want: Want, now: float, token: int) -> None:
+        self._seq += 1
+        want.asking, want.told = 0, {}
+        want.bid = Votes(token, self._seq, now, now + WITHIN, mark(want.lease, token))
+        self._know(want.lease, token)
+        for voter in self.terms.voters:
+            self._say_bid(voter, want.lease, want.bid)
+
+    def _say_bid(self, voter: str, lease: str, votes: Votes) -> None:
+        length = round(self.terms.length * 1000)
+        self._say(voter, Bid(votes.seq, self.me, lease, votes.token, length, self.terms.electorate))
+
+    def _give_up(self, want: Want, now: float) -> None:
+        """No majority. Danger: while a former token is held, its voters must not be freed of the new one."""
+        assert want.bid is not None
+        token, want.bid = want.bid.token, None
+        if want.hold is None:
+            self._free(want.lease, token, "", now)
+            self._later(want, now, AGAIN)
+
+    def _free(self, lease: str, token: int, heir: str, now: float) -> None:
+        gone = Gone(lease, token, heir, set(self.terms.voters), now)
+        self._gone.append(gone)
+        self._say_gone(gone, now)
+
+    def _say_gone(self, gone: Gone, now: float) -> None:
+        self._seq += 1
+        # Danger: a voter that does not hear it keeps the name for us with each renewal.
+        gone.seq, gone.tries, gone.at = self._seq, gone.tries + 1, now + AGAIN * min(10, 1 + gone.tries)
+        for voter in sorted(gone.left):
+            self._say(voter, Drop(gone.seq, self.me, gone.lease, gone.token, gone.heir))
+
+    def _renew(self, now: float) -> None:
+        """All that is held, in one message for each voter."""
+        holds = [want for want in self.wants.values() if want.hold is not None]
+        self._renew_at = now + self.terms.length / 4 if holds else math.inf
+        for seq, sent in list(self._renews.items()):
+            if now - sent > self.terms.length:
+                del self._renews[seq]
+        if not holds:
+            return
+        self._seq += 1
+        self._renews[self._seq] = now
+        self._all(Renew(self._seq, self.me, round(self.terms.length * 1000), self.terms.electorate))
+        for want in holds:
+            left = self.left(want.lease, now)
+            if want.hold is not None and not want.weak and left < self.terms.length / 2:
+                want.weak = True
+                self.events.append(Event(want.lease, "weak", want.hold.token, f"ends in {left:.2f} s"))
+
+    # Messages.
+
+    def receive(self, now: float, message: Message) -> None:
+        """A voter answers, or a holder hands on."""
+        voter = message.source.address
+        if isinstance(message, Pass):
+            self._hear_pass(message, now)
+        elif voter not in self.terms.voters:
+            return
+        elif isinstance(message, Told):
+            self._hear_told(message, voter, now)
+        elif isinstance(message, Answer):
+            self._hear_answer(message, voter, now)
+        elif isinstance(message, Renewed):
+            self._hear_renewed(message, voter, now)
+        elif isinstance(message, Dropped):
+            for gone in self._gone:
+                if gone.seq == message.seq:
+                    gone.left.discard(voter)
+
+    def _know(self, lease: str, token: int) -> None:
+        self.known[lease] = max(token, self.known.get(lease, 0))
+
+    def _hear_told(self, message: Told, voter: str, now: float) -> None:
+        want = self.wants.get(message.lease)
+        self._know(message.lease, message.top)
+        if want is None or not want.asking or want.asking != message.seq:
+            return
+        want.told[voter] = message
+        told = want.told.values()
+        if sum(each.votes and not each.holder for each in told) >= self.terms.majority:
+            self._bid(want, now, max(each.top for each in told) + 1)
+            return
+        left = sorted(each.left_ms for each in told if each.votes)
+        if len(left) >= self.terms.majority and left[self.terms.majority - 1]:
+            # Held: ask when it may be over, and sooner, for it may be let go.
+            want.tries = 0
+            self._later(want, now, min(left[self.terms.majority - 1] / 1000, self.terms.length / 4))
+
+    def _hear_answer(self, message: Answer, voter: str, now: float) -> None:
+        want = self.wants.get(message.lease)
+        self._know(message.lease, message.top)
+        if want is None:
+            return
+        bid, hold = want.bid, want.hold
+        if bid is not None and message.seq == bid.seq:
+            if not message.yes:
+                bid.no.add(voter)
+                if len(bid.no) >= self.terms.majority:
+                    self._give_up(want, now)
+                return
+            self._confirm(bid, voter, bid.sent)
+            if bid.until > now:
+                what = "raised" if hold is not None else "held"
+                want.hold, want.bid, want.tries = bid, None, 0
+                self.events.append(Event(want.lease, what, bid.token, f"{len(bid.yes)} voters"))
+                self._renew_at = min(self._renew_at, now + self.terms.length / 4)
+        elif hold is not None and message.seq == hold.seq:
+            if message.yes:
+                self._confirm(hold, voter, hold.sent)
+            elif message.why == "token spent" and bid is None:
+                # A voter that has forgotten calls our token spent: on under a higher one, at all of them.
+                self._bid(want, now, self.known[want.lease] + 1)
+
+    def _hear_renewed(self, message: Renewed, voter: str, now: float) -> None:
+        sent = self._renews.get(message.seq)
+        if sent is None:
+            return
+        mine = [(want, want.hold) for want in self.wants.values() if want.hold is not None]
+        there = [(want, hold) for want, hold in mine if voter in hold.yes]
+        digest = sum(hold.mark for _, hold in there) % 2**64
+        if digest == message.digest and len(there) == message.count:
+            for want, hold in there:
+                self._confirm(hold, voter, sent)
+                want.weak = want.weak and hold.until - now < self.terms.length / 2
+            mine = [(want, hold) for want, hold in mine if voter not in hold.yes]
+        for want, hold in mine[:FIXES]:
+            if want.bid is None:
+                self._say_bid(voter, want.lease, hold)
+
+    def _hear_pass(self, message: Pass, now: float) -> None:
+        want = self.wants.get(message.lease)
+        if want is not None and want.hold is None and want.bid is None:
+            self._know(message.lease, min(message.token, self.known.get(message.lease, 0) + JUMP))
+            self._bid(want, now, self.known[message.lease] + 1)
+
+    def _all(self, message: Message) -> None:
+        for voter in self.terms.voters:
+            self._say(voter, message)
+
+    def _say(self, voter: str, message: Message) -> None:
+        self.out.append(Send(voter, message))
--- /dev/null
+++ b/switchhub/leases/voter.py
@@ -0,0 +1,222 @@
+"""One voter: to whom it has given its word, for how long, and which tokens are spent. No disk needed.
+
+Owns: its grants and the highest tokens it knows. Must never: do I/O, read a clock, give one name to two at
+a time, or give a token that is not above all it knows of that name.
+
+A majority of such voters is a lease (the scheme of PaxosLease, Trencseni, Gazso, Reinhardt 2012, with the
+read-only `Ask` in place of its prepare phase, so that asking disturbs nobody).
+
+Who was started again has forgotten its grants: it is silent until any of them is over, and only then asks
+the others for the tokens that they know. Danger: learnt before that, a vote of the life before may still be
+on its way, and complete a majority whose token nobody has told.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from switchhub.leases.messages import (
+    Answer,
+    Ask,
+    Bid,
+    Drop,
+    Dropped,
+    Learn,
+    Learnt,
+    Message,
+    Renew,
+    Renewed,
+    Send,
+    Told,
+    Who,
+)
+from switchhub.leases.rules import JUMP, NAMES_MOST, Terms, kept, mark
+
+AGAIN = 0.3  # seconds between two rounds of asking the other voters
+
+
+@dataclass(slots=True)
+class Grant:
+    """This voter's word."""
+
+    name: str
+    life: int
+    token: int
+    until: float
+    mark: int
+    heir: str = ""  # the token is over; the name is kept for this balancer alone
+
+
+class Voter:
+    """See the file's head."""
+
+    def __init__(self, me: Who, terms: Terms, now: float, floor: int | None = None) -> None:
+        """`floor` is no less than any token ever voted for, where a file says so; else that is learnt."""
+        self.me, self.terms = me, terms
+        self.out: list[Send] = []
+        self.votes = False
+        self.floor = floor or 0  # of names that are not in `tops`
+        self.tops: dict[str, int] = {}  # the highest token voted for, by name
+        self.grants: dict[str, Grant] = {}
+        self.counts: dict[str, int] = {}
+        self.news: list[str] = []  # for the log
+        self._waits_until = now + kept(terms.longest)
+        self._knows = floor is not None
+        self._learnt: dict[str, Learnt] = {}  # by voter
+        self._learn_at = self._waits_until
+        self._seq = 0
+        self._rounds: dict[tuple[str, int], int] = {}  # the last round of each holder
+
+    @property
+    def top(self) -> int:
+        """The highest token that this voter knows."""
+        return max(self.floor, max(self.tops.values(), default=0))
+
+    def deadline(self) -> float:
+        """When `turn` is due."""
+        return math.inf if self.votes else self._learn_at
+
+    def turn(self, now: float) -> None:
+        """Do what is due: one that has forgotten asks."""
+        if self.votes or now < self._learn_at:
+            return
+        others = [voter for voter in self.terms.voters if voter != self.me.address]
+        if self._knows or not others:
+            self._begin("tokens from its file" if self._knows else "the only voter, nobody remembers a token")
+            return
+        self._learn_at = now + AGAIN
+        self._seq += 1
+        for voter in others:
+            self.out.append(Send(voter, Learn(self._seq, self.me)))
+
+    def _begin(self, why: str) -> None:
+        self.votes = True
+        self.news.append(f"votes from now on, above token {self.floor}: {why}")
+
+    def receive(self, now: float, message: Message) -> None:
+        """Somebody says something."""
+        source = message.source
+        if isinstance(message, Ask):
+            self._ask(message, now)
+        elif isinstance(message, Bid):
+            why = self._bid(message, now)
+            top = self.tops.get(message.lease, self.floor)
+            answer = Answer(message.seq, self.me, message.lease, message.token, not why, top, why)
+            self._say(source, answer)
+        elif isinstance(message, Renew):
+            self._renew(message, now)
+        elif isinstance(message, Drop):
+            self._drop(message, now)
+            self._say(source, Dropped(message.seq, self.me))
+        elif isinstance(message, Learn):
+            # Danger: one that waits still tells, for it may have learnt what nobody else remembers.
+            self._say(source, Learnt(message.seq, self.me, self.top, self.votes))
+        elif isinstance(message, Learnt):
+            self._hear_learnt(message)
+
+    def _hear_learnt(self, message: Learnt) -> None:
+        if self.votes or message.seq != self._seq or message.source.address not in self.terms.voters:
+            return
+        self._learnt[message.source.address] = message
+        told = list(self._learnt.values())
+        remember = [each.top for each in told if each.remembers]
+        others = len(self.terms.voters) - 1
+        # A majority that gave a token has this voter and `majority - 1` of the others: of any `majority` of
+        # the others that remember one was among them.
+        if len(remember) >= self.terms.majority:
+            self.floor = max([self.floor, *remember])
+            self._begin("learnt from a majority of the others")
+        elif len(told) == others:
+            highest = max([self.floor, *(each.top for each in told)])
+            self.floor = highest + JUMP if highest else 0
+            self._begin(f"{others - len(remember)} other voters remember none either")
+
+    def _ask(self, message: Ask, now: float) -> None:
+        if message.known > self.top:  # a hint: it may only raise
+            self.floor = max(self.floor, min(message.known, self.top + JUMP))
+        grant = self._live(message.lease, now)
+        mine = grant is not None and (grant.heir == message.source.name or self._same(grant, message.source))
+        holder = "" if grant is None or mine else grant.heir or grant.name
+        left = 0 if grant is None or mine else max(0, round((grant.until - now) * 1000)) + 1
+        top = self.tops.get(message.lease, self.floor)
+        self._say(message.source, Told(message.seq, self.me, message.lease, self.votes, holder, left, top))
+
+    def _same(self, grant: Grant, who: Who) -> bool:
+        return not grant.heir and grant.name == who.name and grant.life == who.life
+
+    def _live(self, lease: str, now: float) -> Grant | None:
+        grant = self.grants.get(lease)
+        if grant is not None and now >= grant.until:
+            del self.grants[lease]
+            return None
+        return grant
+
+    def _bid(self, message: Bid, now: float) -> str:
+        """Why not, or nothing."""
+        if not self.votes:
+            return "does not vote yet"
+        if message.electorate != self.terms.electorate:
+            return "another electorate"
+        if message.length_ms > self.terms.longest * 1000:
+            return "longer than a lease may be"
+        lease, who = message.lease, message.source
+        grant, top = self._live(lease, now), self.tops.get(lease, self.floor)
+        if grant is not None and not self._same(grant, who) and grant.heir != who.name:
+            return f"held by {grant.heir or grant.name}"
+        again = grant is not None and self._same(grant, who) and grant.token == message.token
+        if not again and message.token <= top:
+            return "token spent"
+        if len(self.tops) >= NAMES_MOST and lease not in self.tops:
+            self._prune(now)
+        self.tops[lease] = max(top, message.token)
+        until = now + kept(message.length_ms / 1000)
+        if again and grant is not None:
+            grant.until = max(grant.until, until)
+        else:
+            self.grants[lease] = Grant(who.name, who.life, message.token, until, mark(lease, message.token))
+        return ""
+
+    def _prune(self, now: float) -> None:
+        """Names that nobody holds are kept together: above the highest token of any of them."""
+        for lease in list(self.tops):
+            if self._live(lease, now) is None:
+                self.floor = max(self.floor, self.tops.pop(lease))
+
+    def _renew(self, message: Renew, now: float) -> None:
+        who = message.source
+        if message.electorate != self.terms.electorate or message.length_ms > self.terms.longest * 1000:
+            return
+        key = who.name, who.life
+        if message.seq <= self._rounds.get(key, -1):
+            self._count("renewals.old")
+            return
+        count, digest = 0, 0
+        until = now + kept(message.length_ms / 1000)
+        for lease, grant in list(self.grants.items()):
+            if self._same(grant, who) and self._live(lease, now) is not None:
+                grant.until = max(grant.until, until)
+                count += 1
+                digest = (digest + grant.mark) % 2**64
+        if count:
+            self._rounds[key] = message.seq
+        else:
+            self._rounds.pop(key, None)
+        self._say(who, Renewed(message.seq, self.me, count, digest))
+
+    def _drop(self, message: Drop, now: float) -> None:
+        """Danger: without the token in it a word of long ago would end a grant of today."""
+        grant = self.grants.get(message.lease)
+        if grant is None or not self._same(grant, message.source) or grant.token != message.token:
+            return
+        if message.heir:
+            grant.heir = message.heir
+            grant.until = min(grant.until, now + self.terms.reserve)
+        else:
+            del self.grants[message.lease]
+
+    def _say(self, to: Who, message: Message) -> None:
+        self.out.append(Send(to.address, message))
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,323 @@
+"""Leases: every order of events of three voters and two candidates, mutants, and single words by hand."""
+
+from __future__ import annotations
+
+import pytest
+
+from switchhub.lab.explorer import explore
+from switchhub.lab.holders import TERMS, Duties
+from switchhub.leases import rules
+from switchhub.leases.asker import Asker, Votes
+from switchhub.leases.messages import Answer, Bid, Drop, Learnt, Message, Renew, Who
+from switchhub.leases.rules import JUMP, Terms, kept
+from switchhub.leases.voter import Voter
+
+MOST = 60_000
+
+
+@pytest.mark.parametrize(
+    ("budget", "window"),
+    [
+        ({"lose": 1}, (0, 40)),
+        ({"lose": 2}, (0, 5)),
+        ({"late": 1}, (0, 40)),
+        ({"double": 1}, (0, 40)),
+        ({"late": 1, "double": 1}, (2, 5)),
+        ({"stand": 1}, (0, 40)),
+        ({"stand": 1, "late": 1}, (3, 7)),
+        ({"release": 1, "late": 1}, (4, 10)),
+        ({"release": 2}, (4, 24)),
+        ({"pass": 1, "lose": 1}, (4, 10)),
+        ({"pass": 1, "stand": 1}, (4, 16)),
+        ({"forget": 1}, (0, 24)),
+        ({"forget": 1, "stand": 1}, (4, 8)),
+        ({"forget": 1, "late": 1}, (2, 5)),
+        ({"forget": 2}, (4, 10)),
+        ({"split": 1}, (0, 30)),
+        ({"mute": 1}, (0, 30)),
+        ({"mute": 1, "lag": 1}, (2, 14)),
+        ({"split": 1, "forget": 1}, (2, 7)),
+        ({"again": 1, "late": 1}, (4, 10)),
+        ({"again": 1, "echo": 1}, (4, 12)),
+        ({"pass": 1, "split": 1}, (4, 14)),
+    ],
+)
+def test_never_two_hold_and_tokens_rise(budget: dict[str, int], window: tuple[int, int]) -> None:
+    found = explore(Duties(budget, window), MOST, 400)
+    assert found.fault is None, found
+    assert found.whole and found.states > 300
+
+
+class NoWait(Voter):
+    """Votes at once after it has forgotten."""
+
+    def __init__(self, me: Who, terms: Terms, now: float, floor: int | None = None) -> None:
+        super().__init__(me, terms, now, 0)
+        self._waits_until = self._learn_at = now
+
+
+class Forgets(Voter):
+    """Knows no token but those of its present grants."""
+
+    def _live(self, lease: str, now: float):  # type: ignore[no-untyped-def]
+        grant = super()._live(lease, now)
+        if grant is None:
+            self.tops.clear()
+        return grant
+
+
+class KeepsTooShort(Voter):
+    """Takes all clocks for equal."""
+
+    def _bid(self, message: Bid, now: float) -> str:
+        why = super()._bid(message, now)
+        if not why:
+            self.grants[message.lease].until = now + message.length_ms / 1000
+        return why
+
+    def _renew(self, message: Renew, now: float) -> None:
+        super()._renew(message, now)
+        for grant in self.grants.values():
+            grant.until = min(grant.until, now + message.length_ms / 1000)
+
+
+class DropsAny(Voter):
+    """A release without a number."""
+
+    def _drop(self, message: Drop, now: float) -> None:
+        grant = self.grants.get(message.lease)
+        if grant is not None and grant.name == message.source.name:
+            del self.grants[message.lease]
+
+
+class FromTheAnswer(Asker):
+    """Counts from when the answer came, not from when the request went."""
+
+    def receive(self, now: float, message: Message) -> None:
+        self._at = now
+        super().receive(now, message)
+
+    def _confirm(self, votes: Votes, voter: str, sent: float) -> None:
+        super()._confirm(votes, voter, self._at)
+
+
+class NeverLooks(Asker):
+    """Holds until it has been told that it does not."""
+
+    def held(self, lease: str, now: float) -> int | None:
+        want = self.wants.get(lease)
+        return None if want is None or want.hold is None else want.hold.token
+
+
+class OneIsEnough(Asker):
+    def _confirm(self, votes: Votes, voter: str, sent: float) -> None:
+        super()._confirm(votes, voter, sent)
+        votes.until = max(votes.yes.values()) + self.terms.length - self.terms.margin
+
+
+@pytest.mark.parametrize(
+    ("voter", "asker", "budget", "window", "says"),
+    [
+        (NoWait, Asker, {"forget": 2}, (4, 10), "both hold"),
+        (Forgets, Asker, {"release": 1}, (4, 20), "holds token"),
+        (DropsAny, Asker, {"again": 1, "echo": 1}, (4, 10), "both hold"),
+        (Voter, NeverLooks, {"stand": 1}, (4, 24), "holds token"),
+        (Voter, OneIsEnough, {"split": 1}, (0, 8), "holds token"),
+    ],
+)
+def test_each_guard_is_needed(
+    voter: type[Voter], asker: type[Asker], budget: dict[str, int], window: tuple[int, int], says: str
+) -> None:
+    found = explore(Duties(budget, window, voter=voter, asker=asker), MOST, 400)
+    assert found.fault is not None and says in found.fault, found
+
+
+def test_clocks_apart_by_the_bound_are_allowed_for() -> None:
+    """Found only where the lease is long against the way to the next holder, as is what counts from answers."""
+    long = Terms(TERMS.voters, length=6.0, longest=6.0, margin=0.0625, reserve=0.25)
+    found = explore(Duties({"mute": 1}, (4, 24), terms=long), MOST, 400)
+    assert found.fault is None and found.whole
+    found = explore(Duties({"mute": 1}, (4, 24), voter=KeepsTooShort, terms=long), MOST, 400)
+    assert found.fault is not None and "both hold" in found.fault
+    long = Terms(TERMS.voters, length=3.0, longest=3.0, margin=0.0625, reserve=0.25)
+    found = explore(Duties({"mute": 1, "lag": 1}, (16, 20), terms=long), MOST, 400)
+    assert found.fault is None and found.whole
+    found = explore(Duties({"mute": 1, "lag": 1}, (14, 21), asker=FromTheAnswer, terms=long), MOST, 400)
+    assert found.fault is not None and "both hold" in found.fault
+
+
+def _who(name: str) -> Who:
+    return Who(name, 1, name)
+
+
+def _bid(name: str, token: int, seq: int = 1, lease: str = "duty") -> Bid:
+    return Bid(seq, _who(name), lease, token, 1000, TERMS.electorate)
+
+
+def _said(voter: Voter) -> list[Message]:
+    said = [send.message for send in voter.out]
+    voter.out.clear()
+    return said
+
+
+def _voter(floor: int | None = 0, now: float = 0.0, name: str = "v0") -> Voter:
+    voter = Voter(_who(name), TERMS, now, floor)
+    if floor is not None:
+        voter.turn(now + 10.0)
+    return voter
+
+
+def test_a_voter_that_has_forgotten_is_silent_until_its_grants_are_over_and_learns_only_then() -> None:
+    voter = _voter(None)
+    voter.receive(0.1, _bid("a", 7))
+    (answer,) = _said(voter)
+    assert isinstance(answer, Answer) and not answer.yes
+    voter.turn(kept(TERMS.longest) - 0.01)
+    assert not _said(voter)
+    voter.turn(kept(TERMS.longest))
+    (seq,) = {each.seq for each in _said(voter)}
+    voter.receive(1.2, Learnt(seq - 1, _who("v1"), 90, True))  # an answer to nothing that was asked
+    voter.receive(1.2, Learnt(seq, _who("x"), 90, True))  # no voter
+    voter.receive(1.2, Learnt(seq, _who("v1"), 56, True))
+    assert not voter.votes
+    voter.receive(1.2, Learnt(seq, _who("v2"), 57, True))
+    assert voter.votes and voter.floor == 57
+    voter.receive(1.3, _bid("a", 57))
+    voter.receive(1.3, _bid("a", 58))
+    assert [isinstance(each, Answer) and each.yes for each in _said(voter)] == [False, True]
+
+
+def test_where_a_majority_has_forgotten_all_have_to_be_heard_and_tokens_jump() -> None:
+    voter = _voter(None)
+    voter.turn(2.0)
+    (seq,) = {each.seq for each in _said(voter)}
+    voter.receive(2.0, Learnt(seq, _who("v1"), 0, False))
+    assert not voter.votes  # the third may know what nobody else does
+    voter.receive(2.0, Learnt(seq, _who("v2"), 50, True))
+    assert voter.votes and voter.floor == 50 + JUMP
+
+
+def test_voters_that_all_begin_for_the_first_time_begin() -> None:
+    voter = _voter(None)
+    voter.turn(2.0)
+    (seq,) = {each.seq for each in _said(voter)}
+    for name in ("v1", "v2"):
+        voter.receive(2.0, Learnt(seq, _who(name), 0, False))
+    assert voter.votes and voter.floor == 0
+
+
+def test_words_of_long_ago_change_nothing() -> None:
+    voter = _voter()
+    voter.receive(0.0, _bid("a", 1))
+    voter.receive(0.1, Renew(5, _who("a"), 1000, TERMS.electorate))
+    voter.receive(0.2, Drop(6, _who("a"), "duty", 1, ""))
+    voter.receive(0.3, Renew(5, _who("a"), 1000, TERMS.electorate))  # after release
+    voter.receive(0.4, _bid("a", 1))  # the first bid once more
+    voter.receive(0.5, _bid("b", 2))
+    voter.receive(0.6, Drop(6, _who("a"), "duty", 1, ""))
+    voter.receive(0.7, Drop(7, _who("b"), "duty", 1, ""))
+    assert voter.grants["duty"].name == "b" and voter.grants["duty"].token == 2
+    voter.receive(0.8, _bid("c", 3))
+    assert _said(voter)[-1] == Answer(1, voter.me, "duty", 3, False, 2, "held by b")
+
+
+def test_a_name_that_is_handed_on_is_for_its_heir_alone_and_not_for_long() -> None:
+    voter = _voter()
+    voter.receive(0.0, _bid("a", 1))
+    voter.receive(0.1, Drop(2, _who("a"), "duty", 1, "b"))
+    voter.receive(0.15, _bid("c", 2))
+    voter.receive(0.2, _bid("a", 2))
+    assert not any(each.yes for each in _said(voter)[2:])  # type: ignore[union-attr]
+    voter.receive(0.1 + TERMS.reserve, _bid("c", 2))  # the heir has died
+    assert _said(voter)[-1].yes  # type: ignore[union-attr]
+
+
+def test_another_electorate_and_a_longer_lease_get_no_vote() -> None:
+    voter = _voter()
+    voter.receive(0.0, Bid(1, _who("a"), "duty", 1, 1000, TERMS.electorate + 1))
+    voter.receive(0.0, Bid(1, _who("a"), "duty", 1, 1001, TERMS.electorate))
+    assert [each.why for each in _said(voter)] == [  # type: ignore[union-attr]
+        "another electorate",
+        "longer than a lease may be",
+    ]
+
+
+def test_names_without_end_are_kept_together_and_their_tokens_stay_spent() -> None:
+    voter = _voter()
+    for number in range(rules.NAMES_MOST + 5):
+        voter.receive(number * 0.01, _bid("a", 3, lease=f"x{number}"))
+    assert len(voter.tops) < rules.NAMES_MOST and len(voter.grants) < 300
+    voter.receive(1e6, _bid("b", 3, lease="x0"))
+    assert _said(voter)[-1].why == "token spent"  # type: ignore[union-attr]
+
+
+class Table:
+    """Voters and askers that hear each other at once."""
+
+    def __init__(self, voters: int = 3, askers: int = 1) -> None:
+        names = [f"v{number}" for number in range(voters)]
+        self.terms = Terms(tuple(names), length=3.0, longest=3.0)
+        self.parts: dict[str, Voter | Asker] = {
+            name: Voter(_who(name), self.terms, -10.0, 0) for name in names
+        }
+        self.askers = {f"a{n}": Asker(_who(f"a{n}"), self.terms, n, 0.0) for n in range(askers)}
+        self.parts |= self.askers
+        self.now, self.sent = 0.0, 0
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.01
+            for part in self.parts.values():
+                part.turn(self.now)
+            while out := [send for part in self.parts.values() for send in part.out]:
+                for part in self.parts.values():
+                    part.out.clear()
+                self.sent += len(out)
+                for address, message in out:
+                    if address in self.parts:
+                        self.parts[address].receive(self.now, message)
+
+
+def test_a_thousand_names_are_renewed_in_one_message_for_each_voter() -> None:
+    table = Table()
+    asker = table.askers["a0"]
+    for number in range(1000):
+        asker.want(f"x{number}", 0.0)
+    table.run(0.5)
+    assert all(asker.held(f"x{number}", table.now) for number in range(1000))
+    table.sent = 0
+    table.run(9.0)
+    assert all(asker.held(f"x{number}", table.now) for number in range(1000))
+    assert table.sent <= 12 * 2 * 3 + 6
+
+
+def test_a_voter_that_forgets_is_won_back_under_a_higher_token_without_a_gap() -> None:
+    table = Table()
+    asker = table.askers["a0"]
+    asker.want("duty", 0.0)
+    table.run(1.0)
+    first = asker.held("duty", table.now)
+    assert first
+    for name in ("v0", "v1", "v2"):  # one after another, so that nobody remembers the first grant
+        table.parts[name] = Voter(Who(name, 2, name), table.terms, table.now, None)
+        for _ in range(600):
+            table.run(0.01)
+            assert asker.held("duty", table.now)
+    last = asker.held("duty", table.now)
+    assert last and last > first
+    assert [event.what for event in asker.events if event.what in ("lost", "weak")] == []
+
+
+def test_a_duty_is_handed_on_at_once_and_never_held_by_two() -> None:
+    table = Table(askers=3)
+    for asker in table.askers.values():
+        asker.want("duty", 0.0)
+    table.run(2.0)
+    (holder,) = [name for name, asker in table.askers.items() if asker.held("duty", table.now)]
+    heir = next(name for name in table.askers if name != holder)
+    table.askers[holder].release("duty", table.now, heir, heir)
+    assert not table.askers[holder].held("duty", table.now)
+    table.run(0.05)
+    assert table.askers[heir].held("duty", table.now)
+    assert [name for name, asker in table.askers.items() if asker.held("duty", table.now)] == [heir]
