--- a/switchhub/lab/holders.py
+++ b/switchhub/lab/holders.py
@@ -172,7 +172,7 @@
 
 
 class Duties:
-    """Every order of events within a budget: messages `lose`, `double`, `late`, an `echo` of all that one says
+    """Every order of events within a budget: messages `lose`, `double`, `late`, an `echo` of all one says
     in a step; a voter `forget`s; a candidate `stand`s still, is not heard (`mute`), is cut off with one voter
     (`split`), hears late (`lag`), `release`s, does so and wants it `again` at once, or hands on (`pass`)."""
 
--- a/switchhub/membership/core.py
+++ b/switchhub/membership/core.py
@@ -280,11 +280,11 @@
         self._send(news.address, Ping(probe.seq, self._source(now), probe.name, (), True))
 
     def _unanswered(self, probe: Probe, now: float) -> None:
-        """Danger: one whose own network or core is slow accuses everybody. Silence of those asked to help is
-        counted against oneself."""
+        """Danger: one whose own network or core is slow accuses everybody. Silence of all that were asked to
+        help is counted against oneself; of some it is not, for where half have died at once some are dead."""
         member = self.members.get(probe.name)
         self._count("unanswered")
-        if not probe.others or probe.nacks < probe.others:
+        if not probe.nacks:
             self._worse()
         if member is not None and member.news.state <= SUSPECT:
             self._apply(_as(member.news, SUSPECT, self.name), now, "did not answer")
