Leases held by running balancers, for commands outside too, judged on the rig by who acts

Need: the pure parts were carried by nothing.

The rig runs holders whose commands send effects with their tokens, and judges by these alone.

Found live, each with its plan in the tests: an upgrade of the holder released the name while the command outside still acted (47 effects under a spent token): what is held for outside is left to run out. A hand-on did the same: the command is told with its next call, ends, and lets go itself. A rig that asked nobody held that all agree.

--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -55,7 +55,7 @@
         return None
     from switchhub.peers.node import Node
 
-    return Node(told.peers, config.name)
+    return Node(told.peers, config.name, told.leases)
 
 
 async def serve(config: Config, node: Node | None) -> None:
@@ -63,7 +63,7 @@
     listener = Listener(config, await taker(config))
     if node is not None:
         listener.lifecycle.followers.append(node.follow)
-        listener.pages["/members"] = node.members
+        listener.pages.update(node.pages())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, listener.stop)
--- a/switchhub/cli.py
+++ b/switchhub/cli.py
@@ -19,6 +19,7 @@
     "lab": ("switchhub.lab.cli", "requirements-lab.txt"),
     "check": ("switchhub.operator_file", "requirements-peers.txt"),
     "members": ("switchhub.peers.cli", "requirements-peers.txt"),
+    "lease": ("switchhub.leases.cli", "requirements-peers.txt"),
 }
 
 
@@ -32,6 +33,7 @@
         "  python -m switchhub lab run lab/scenarios/hang.toml --seed 3 --json out.json\n"
         "  python -m switchhub check deploy/operator.example.toml\n"
         "  python -m switchhub members 127.0.0.1:9901 --watch\n"
+        "  python -m switchhub lease hold nightly --via 127.0.0.1:9901 -- ./nightly.sh\n"
         "  python -m switchhub lab table --seeds 1..5 --policies design,plain,oracle",
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
@@ -41,6 +43,7 @@
         "lab", help="play scenarios: a fleet in virtual time or on real sockets", add_help=False
     )
     commands.add_parser("check", help="say what is wrong with an operator file", add_help=False)
+    commands.add_parser("lease", help="duties that only one may hold: list, hold, release", add_help=False)
     commands.add_parser("members", help="who is there, as one balancer sees it", add_help=False)
     return parser
 
--- a/switchhub/lab/faults/clock.py
+++ b/switchhub/lab/faults/clock.py
@@ -25,7 +25,14 @@
         gone = (monotonic() - zero) * rate
         return began + gone + (jump if gone > after else 0.0)
 
-    time.monotonic, time.time = monotonic_here, wall_here
+    gettime, boot = time.clock_gettime, time.CLOCK_BOOTTIME
+    booted = gettime(boot)
+
+    def gettime_here(which: int) -> float:
+        now = gettime(which)
+        return booted + (now - booted) * rate if which == boot else now
+
+    time.monotonic, time.time, time.clock_gettime = monotonic_here, wall_here, gettime_here
     runpy.run_module("switchhub", run_name="__main__", alter_sys=True)
 
 
--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -4,7 +4,7 @@
 
 A plan is TOML: `balancers`, `steps`, and what `[peers]` of the operator file is to have beyond its defaults.
 All balancers are started and know each other before the first step, unless `start = false`. A step is one
-line; A and B are names with commas between them, `*` all, `-A` all others:
+line; A and B are names with commas between them, `*` all, `-A` all others, `@NAME` who acted last for NAME:
 
     kill A, stop A, wake A, term A   SIGKILL, SIGSTOP, SIGCONT, SIGTERM
     start A [RATE[,SECONDS,JUMP]]    again, or under a wrong clock (`clock.py`)
@@ -21,6 +21,10 @@
     say A B STATE SECONDS            each of A says within so long that each of B is in this state
     view A VIEW SECONDS              each of A has this view within so long
     agree SECONDS                    all that run are sure, and hold just those that run to be alive
+    duty A NAME                      a holder of NAME at each of A, which acts each 20 ms as long as it holds
+    acts NAME SECONDS                somebody acts, from now on, within so long
+    passes NAME SECONDS              somebody acts under a higher token than now, within so long
+    hand-on NAME SECONDS             who holds it is told to hand it on; the same is waited for
     none A COUNTER                   this counter of each of A does not move any more (for half a second)
     MS                               milliseconds pass
 """
@@ -29,9 +33,11 @@
 
 import asyncio
 import json
+import re
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import tomllib
 from dataclasses import dataclass, field
@@ -49,23 +55,35 @@
     Stand,
     configure,
 )
-from switchhub.lab.live.runner import ports
+from switchhub.lab.live.runner import ROOT, ports
 
 EVERY = 0.02  # seconds between two clients, each to the next balancer
 MEET = 10.0  # seconds in which all are to know each other at the start
 AFTER = 15.0  # seconds after a trouble in which a burial is put down to it
 LOOK = 0.05  # seconds between two looks at what a process says
 NAMES = {  # how many lists of names a step has
-    **dict.fromkeys(("heal", "agree"), 0),
+    **dict.fromkeys(("heal", "agree", "acts", "passes", "hand-on"), 0),
     **dict.fromkeys(("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "upgrade"), 1),
-    **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give"), 1),
+    **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give", "duty"), 1),
     **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold", "say"), 2),
 }
 FIGURES = {  # and how many figures or words at least
-    **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none"), 1),
-    **dict.fromkeys(("say", "view"), 2),
+    **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none", "duty"), 1),
+    **dict.fromkeys(("say", "view", "acts", "passes", "hand-on"), 2),
 }
-WAITS = ("heal", "agree", "view", "none", "say", "free", "give")  # all others are troubles
+WAITS = (
+    "heal",
+    "agree",
+    "view",
+    "none",
+    "say",
+    "free",
+    "give",
+    "acts",
+    "passes",
+    "hand-on",
+    "duty",
+)  # all others are troubles
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,10 +95,11 @@
     peers: dict[str, int] = field(default_factory=dict)
     start: bool = True
     name: str = ""
+    voters: int = 0  # the first so many; none: no leases
 
     def toml(self) -> str:
         """As a file."""
-        head = {"name": self.name, "balancers": self.balancers, "start": self.start}
+        head = {"name": self.name, "balancers": self.balancers, "start": self.start, "voters": self.voters}
         lines = [f"{key} = {json.dumps(value)}" for key, value in head.items()]
         lines += ["steps = [", *(f"    {json.dumps(step)}," for step in self.steps), "]", "", "[peers]"]
         return "\n".join([*lines, *(f"{key} = {value}" for key, value in self.peers.items())]) + "\n"
@@ -92,15 +111,19 @@
         data = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise PlanError(f"{where}: {error}") from None
-    unknown = set(data) - {"name", "balancers", "steps", "peers", "start"}
-    if unknown:
-        raise PlanError(f"{where}: {sorted(unknown)[0]}: expected name, balancers, steps, peers or start")
+    keys = ("name", "balancers", "steps", "peers", "start", "voters")
+    if unknown := sorted(set(data) - set(keys)):
+        raise PlanError(f"{where}: {unknown[0]}: expected one of {', '.join(keys)}")
     balancers, steps = data.get("balancers"), data.get("steps")
     if not isinstance(balancers, int) or not 2 <= balancers <= 40:
         raise PlanError(f"{where}: balancers = {balancers!r}: expected 2 to 40")
     if not isinstance(steps, list) or not all(isinstance(step, str) for step in steps):
         raise PlanError(f"{where}: steps: expected a list of texts")
-    plan = Plan(balancers, tuple(steps), data.get("peers", {}), data.get("start", True), data.get("name", ""))
+    voters = data.get("voters", 0)
+    if voters not in (0, 1, 3, 5, 7) or voters > balancers:
+        raise PlanError(f"{where}: voters = {voters!r}: expected 0, 1, 3, 5 or 7, and balancers for them")
+    start, name = data.get("start", True), data.get("name", "")
+    plan = Plan(balancers, tuple(steps), data.get("peers", {}), start, name, voters)
     for number, step in enumerate(steps):
         try:
             words(step, balancers)
@@ -126,7 +149,7 @@
     every = [f"n{number}" for number in range(count)]
     if text == "*":
         return every
-    told = text.removeprefix("-").split(",")
+    told = ["n0" if each.startswith("@") else each for each in text.removeprefix("-").split(",")]
     if unknown := [name for name in told if name not in every]:
         raise PlanError(f"{unknown[0]!r}: expected names from n0 to n{count - 1}")
     return [name for name in every if (name in told) is not text.startswith("-")]
@@ -142,6 +165,7 @@
         default_factory=list
     )  # what each said of the others
     passed: dict[str, int] = field(default_factory=dict)  # bytes on each link
+    effects: list[tuple[float, str, int, str]] = field(default_factory=list)  # when, lease, token, by whom
 
     def troubled(self, name: str, begin: float, end: float) -> bool:
         """Whether something was done to it, or to a link of it, in that time."""
@@ -178,9 +202,32 @@
                     out.append((at, by, name))
         return sorted(out)
 
+    def spent(self, lease: str) -> list[tuple[float, int, str]]:
+        """Effects that a receiver refuses, for it has seen a higher token: when, token, by whom."""
+        out, top = [], 0
+        for at, name, token, by in self.effects:
+            if name == lease:
+                if token < top:
+                    out.append((at, token, by))
+                top = max(top, token)
+        return out
+
+    def overlaps(self) -> list[str]:
+        """Two that acted at a time, or under one token."""
+        out = []
+        owners: dict[tuple[str, int], str] = {}
+        for _, lease, token, by in self.effects:
+            if owners.setdefault((lease, token), by) != by:
+                out.append(f"{lease}: token {token} was {owners[lease, token]}'s and {by}'s")
+        for lease in sorted({each[1] for each in self.effects}):
+            late = self.spent(lease)
+            if late:
+                out.append(f"{lease}: {len(late)} effects under a spent token, the first {late[0]}")
+        return sorted(set(out))
+
     def faults(self) -> list[str]:
         """What was wrong."""
-        out = self.common_faults()
+        out = self.common_faults() + self.overlaps()
         for at, by, name in self.buried():
             if not any(self.troubled(each, at - AFTER, at) for each in (by, name)):
                 out.append(f"{by} buried {name} at {at:.2f}, and nothing had been done to either")
@@ -201,6 +248,7 @@
             "up": sum(client.answer == "UP" for client in self.came),
             "buried": len({(by, name) for _, by, name in self.buried()}),
             "bytes": sum(self.passed.values()),
+            "effects": len(self.effects),
             "took": self.took,
         }
 
@@ -217,6 +265,10 @@
         self._between = Between(seed)
         self._serving: list[str] = []
         self._taken: dict[str, socket.socket] = {}
+        self._holders: list[asyncio.subprocess.Process] = []
+        self._duties: dict[str, list[str]] = {}  # who was told to hold what
+        self._effects = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._effects.setblocking(False)
         rig = f"{self._net.rsplit('.', 1)[0]}.{int(self._net.rsplit('.', 1)[1]) + 1}"
         self._own = {name: f"{self._net}.{number + 1}" for number, name in enumerate(self.names)}
         self._stands = {name: f"{rig}.{number + 1}" for number, name in enumerate(self.names)}
@@ -225,6 +277,8 @@
         """The whole plan."""
         self._clients_port, self._peers_port = ports(self._own["n0"], 2)
         try:
+            self._effects.bind(("127.0.0.1", 0))
+            asyncio.get_running_loop().add_reader(self._effects, self._acted)
             discovery, listing = await self._stand_ins(["s0", "s1", "s2"])
             for name in self.names:
                 own, stands = (self._own[name], self._peers_port), (self._stands[name], self._peers_port)
@@ -251,6 +305,12 @@
             self.record.passed = {f"{a}>{b}": size for (a, b), size in self._between.passed.items()}
         finally:
             self._between.close()
+            for holder in self._holders:
+                if holder.returncode is None:
+                    holder.kill()
+                    await holder.wait()
+            asyncio.get_running_loop().remove_reader(self._effects)
+            self._effects.close()
             for sock in self._taken.values():
                 sock.close()
             await self._end()
@@ -268,7 +328,15 @@
             "seeds": seeds,
             **self.plan.peers,
         }
-        return "\n".join(["[peers]", *(f"{key} = {json.dumps(value)}" for key, value in told.items())]) + "\n"
+        lines = ["[peers]", *(f"{key} = {json.dumps(value)}" for key, value in told.items())]
+        if self.plan.voters:
+            voters = [f"{self._stands[each]}:{self._peers_port}" for each in self.names[: self.plan.voters]]
+            lines += [
+                "[leases]",
+                f"voters = {json.dumps(voters)}",
+                f"folder = {json.dumps(str(self._folder))}",
+            ]
+        return "\n".join(lines) + "\n"
 
     def _where(self, number: int) -> tuple[str, str, int]:
         """The next balancer that serves."""
@@ -276,6 +344,7 @@
         return name, self._own[name], self._clients_port
 
     async def _do(self, step: str) -> None:
+        step = re.sub("@([^ ,]+)", lambda found: self._actor(found[1]), step)
         verb, named, rest = words(step, self.plan.balancers)
         self.record.done.append((round(self.now(), 3), step))
         begun = self.now()
@@ -292,6 +361,12 @@
                 )
         elif verb == "start":
             await self._start_all(named[0], rest[0] if rest else "")
+        elif verb == "duty":
+            for name in named[0]:
+                await self._hold(name, rest[0])
+        elif verb in ("acts", "passes", "hand-on"):
+            await self._wait_for_effect(verb, rest[0], float(rest[1]))
+            self.record.took[step] = round(self.now() - begun, 3)
         elif verb == "upgrade":
             for name in named[0]:
                 await self._upgrade(name)
@@ -387,6 +462,50 @@
             except (OSError, TimeoutError):
                 pass
 
+    # Duties.
+
+    def _acted(self) -> None:
+        while True:
+            try:
+                lease, token, by = self._effects.recv(200).decode().split()
+            except OSError:
+                return
+            self.record.effects.append((round(self.now(), 4), lease, int(token), by))
+
+    def _actor(self, lease: str) -> str:
+        return next((by for _, name, _, by in reversed(self.record.effects) if name == lease), self.names[0])
+
+    async def _lease(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
+        called = [line for line in self.record.logs[name] if "management on" in line]
+        via = called[-1].rsplit(" ", 1)[1]
+        verb, lease, *rest = arguments
+        holder = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "switchhub", "lease", verb, lease, "--via", via, *rest, cwd=ROOT
+        )
+        self._holders.append(holder)
+        return holder
+
+    async def _hold(self, name: str, lease: str) -> None:
+        host, port = self._effects.getsockname()
+        acts = (sys.executable, "-m", "switchhub.lab.faults.effects", f"{host}:{port}", name)
+        await self._until(lambda: name in self._serving)
+        self._duties.setdefault(lease, []).append(name)
+        await self._lease(name, "hold", lease, "--wait", "600", "--", *acts)
+
+    async def _wait_for_effect(self, verb: str, lease: str, limit: float) -> None:
+        effects, begun = self.record.effects, len(self.record.effects)
+        top = max((token for _, name, token, _ in effects if name == lease), default=0)
+        if verb == "hand-on":
+            holder = self._actor(lease)
+            heir = next(name for name in self._duties[lease] if name != holder)
+            await self._lease(holder, "hand-on", lease, heir)
+
+        def acted() -> bool:
+            mine = [token for _, name, token, _ in effects[begun:] if name == lease]
+            return any(verb == "acts" or token > top for token in mine)
+
+        await self._until(acted, limit)
+
     # What is waited for.
 
     async def _look(self, *names: str) -> dict[str, dict[str, Any]]:
@@ -415,10 +534,14 @@
                 for name in named[0]
             )
         runs = {name for name in self._processes if self._state(name) not in "TZX"}
-        return set(said) == runs and all(
-            {each for each, state in states[name].items() if state == "alive"} == runs
-            and said[name]["view"] == "sure"
-            for name in runs
+        return (
+            bool(runs)
+            and set(said) == runs
+            and all(
+                {each for each, state in states[name].items() if state == "alive"} == runs
+                and said[name]["view"] == "sure"
+                for name in runs
+            )
         )
 
     async def _wait_for(self, verb: str, named: list[list[str]], rest: list[str]) -> None:
--- a/switchhub/leases/asker.py
+++ b/switchhub/leases/asker.py
@@ -322,7 +322,7 @@
             return
         mine = [(want, want.hold) for want in self.wants.values() if want.hold is not None]
         there = [(want, hold) for want, hold in mine if voter in hold.yes]
-        digest = sum(hold.mark for _, hold in there) % 2**64
+        digest = sum(hold.mark for _, hold in there) % 2**62
         if digest == message.digest and len(there) == message.count:
             for want, hold in there:
                 self._confirm(hold, voter, sent)
--- a/switchhub/leases/messages.py
+++ b/switchhub/leases/messages.py
@@ -97,7 +97,7 @@
     seq: Count
     source: Who
     count: Count
-    digest: Annotated[int, Meta(ge=0, lt=2**64)]
+    digest: Annotated[int, Meta(ge=0, lt=2**62)]
 
 
 class Drop(Struct, frozen=True, array_like=True, tag=22):
--- /dev/null
+++ b/switchhub/leases/tokens.py
@@ -0,0 +1,49 @@
+"""A voter's highest token in a file that survives it.
+
+Owns: one file in the operator's folder. Must never: say that a token is written down before the disk has it.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from loguru import logger
+
+
+class Tokens:
+    """The file of one balancer."""
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self._path = folder / f"tokens-{name.encode().hex()}"
+
+    def read(self) -> int | None:
+        """No token above this was ever voted for; None if nothing is known."""
+        try:
+            return int(self._path.read_text(encoding="ascii"))
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError) as error:
+            logger.error("leases: {}: {}; tokens are learnt from the other voters", self._path, error)
+            return None
+
+    def write(self, top: int, before: float) -> float:
+        """Write it down; up to which token that is done now."""
+        new = self._path.with_suffix(".new")
+        try:
+            with open(new, "w", encoding="ascii") as file:
+                file.write(str(top))
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(new, self._path)
+            folder = os.open(self._path.parent, os.O_RDONLY)
+            try:
+                os.fsync(folder)
+            finally:
+                os.close(folder)
+        except OSError as error:
+            logger.error(
+                "leases: {} can't be written, no votes above token {}: {}", self._path, before, error
+            )
+            return before
+        return top
--- a/switchhub/leases/voter.py
+++ b/switchhub/leases/voter.py
@@ -33,6 +33,7 @@
 )
 from switchhub.leases.rules import JUMP, NAMES_MOST, Terms, kept, mark
 
+RESERVE = 1 << 16  # tokens that are written down ahead
 AGAIN = 0.3  # seconds between two rounds of asking the other voters
 
 
@@ -51,8 +52,11 @@
 class Voter:
     """See the file's head."""
 
-    def __init__(self, me: Who, terms: Terms, now: float, floor: int | None = None) -> None:
-        """`floor` is no less than any token ever voted for, where a file says so; else that is learnt."""
+    def __init__(
+        self, me: Who, terms: Terms, now: float, floor: int | None = None, files: bool = False
+    ) -> None:
+        """`floor` is no less than any token ever voted for, where a file says so; else that is learnt. With
+        `files` no token is voted for above `bound`, which is written down before."""
         self.me, self.terms = me, terms
         self.out: list[Send] = []
         self.votes = False
@@ -61,6 +65,7 @@
         self.grants: dict[str, Grant] = {}
         self.counts: dict[str, int] = {}
         self.news: list[str] = []  # for the log
+        self.bound: float = -1 if files else math.inf
         self._waits_until = now + kept(terms.longest)
         self._knows = floor is not None
         self._learnt: dict[str, Learnt] = {}  # by voter
@@ -73,6 +78,14 @@
         """The highest token that this voter knows."""
         return max(self.floor, max(self.tops.values(), default=0))
 
+    def reserve(self) -> int | None:
+        """Up to which token has to be written down, if more than is: then `bound` is to be set to it.
+
+        Danger: written before the tokens of the others are known, it would be taken for these next time."""
+        if not self.votes or self.top + RESERVE // 2 <= self.bound:
+            return None
+        return self.top + RESERVE
+
     def deadline(self) -> float:
         """When `turn` is due."""
         return math.inf if self.votes else self._learn_at
@@ -167,6 +180,8 @@
         again = grant is not None and self._same(grant, who) and grant.token == message.token
         if not again and message.token <= top:
             return "token spent"
+        if message.token > self.bound:
+            return "token not written down yet"
         if len(self.tops) >= NAMES_MOST and lease not in self.tops:
             self._prune(now)
         self.tops[lease] = max(top, message.token)
@@ -197,7 +212,7 @@
             if self._same(grant, who) and self._live(lease, now) is not None:
                 grant.until = max(grant.until, until)
                 count += 1
-                digest = (digest + grant.mark) % 2**64
+                digest = (digest + grant.mark) % 2**62
         if count:
             self._rounds[key] = message.seq
         else:
--- a/switchhub/management/calls.py
+++ b/switchhub/management/calls.py
@@ -9,13 +9,15 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
+Page = Callable[[str, str], tuple[int, str]]
+
 
 class Managed(Protocol):
     """What is asked of a balancer here."""
 
     @property
-    def pages(self) -> Mapping[str, Callable[[], str]]:
-        """Further paths, and what is read there; a page changes nothing."""
+    def pages(self) -> Mapping[str, Page]:
+        """Further paths: method and query in, status and text out. `GET` changes nothing."""
 
     def healthy(self) -> bool:
         """Whether this process is ready to serve."""
@@ -73,10 +75,10 @@
 
 def answer(node: Managed, method: str, target: str) -> Answer:
     """What becomes of this call; a query behind the path is passed over."""
-    path = target.partition("?")[0]
+    path, _, query = target.partition("?")
     calls = CALLS.get(path)
     if calls is None and path in node.pages:
-        calls = {"GET": lambda node: Answer(200, node.pages[path]())}
+        return Answer(*node.pages[path](method, query))
     if calls is None:
         return Answer(404, f"no such path; there are {', '.join([*CALLS, *node.pages])}\n")
     call = calls.get(method)
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -92,7 +92,7 @@
         self._management: Management | None = None
         self._taker = taker
         self._giver: Giver | None = None
-        self.pages: dict[str, Callable[[], str]] = {}  # what else staff may read at the management address
+        self.pages: dict[str, Callable[[str, str], tuple[int, str]]] = {}  # further ones, for staff
         self.links: list[Link] = []  # the pairs with other processes of this balancer
         room = 0
         if config.management is not None:  # not imported where it is not wanted
--- a/switchhub/operator_file.py
+++ b/switchhub/operator_file.py
@@ -50,10 +50,21 @@
         return self.advertise or self.listen
 
 
+class Leases(Struct, frozen=True):
+    """`[leases]`: duties that only one balancer may hold at a time."""
+
+    voters: list[str]  # addresses of 1, 3, 5 or 7 balancers, as they advertise them; the same at all
+    length_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000
+    longest_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000  # that any balancer's file may have
+    margin_ms: Annotated[int, Meta(ge=10, le=10_000)] = 150  # before its end at which a holder stops
+    folder: str = ""  # that survives: a voter's tokens rise even if all voters are started again at once
+
+
 class Operator(Struct, frozen=True):
     """All sections; one that is not there is off."""
 
     peers: Peers | None = None
+    leases: Leases | None = None
 
 
 class OperatorError(ConfigError):
@@ -84,6 +95,8 @@
             if found is not None:
                 faults += check(found)
                 sections[name] = found
+    if "leases" in data and "peers" not in data:
+        faults.append("leases: expected [peers] too, for voters and holders speak through them")
     if faults:
         raise OperatorError([f"{path}: {fault}" for fault in faults])
     return Operator(**sections)
@@ -152,7 +165,28 @@
     return faults
 
 
-SECTIONS: dict[str, tuple[type[Any], Any]] = {"peers": (Peers, _check_peers)}
+def _check_leases(told: Leases) -> list[str]:
+    faults: list[str] = []
+    for number, voter in enumerate(told.voters):
+        _address(f"leases.voters[{number}]", voter, faults)
+    if len(told.voters) not in (1, 3, 5, 7):
+        faults.append(f"leases.voters: expected 1, 3, 5 or 7 of them, there are {len(told.voters)}")
+    for voter, count in Counter(told.voters).items():
+        if count > 1:
+            faults.append(f"leases.voters: expected each once, {voter!r} stands there {count} times")
+    if told.folder and not Path(told.folder).is_dir():
+        faults.append(f"leases.folder = {told.folder!r}: expected a folder that is there")
+    if told.longest_ms < told.length_ms:
+        faults.append(f"leases.longest_ms = {told.longest_ms}: expected length_ms = {told.length_ms} or more")
+    if told.margin_ms * 4 > told.length_ms:
+        faults.append(f"leases.margin_ms = {told.margin_ms}: expected a quarter of length_ms at most")
+    return faults
+
+
+SECTIONS: dict[str, tuple[type[Any], Any]] = {
+    "peers": (Peers, _check_peers),
+    "leases": (Leases, _check_leases),
+}
 
 
 def main(arguments: list[str]) -> int:
--- a/switchhub/peers/cli.py
+++ b/switchhub/peers/cli.py
@@ -17,11 +17,11 @@
 EVERY = 1.0  # seconds between two looks
 
 
-def fetch(address: str, path: str) -> Any:
+def fetch(address: str, path: str, method: str = "GET", within: float = WITHIN) -> Any:
     """A page at a management address, as JSON; `OSError` or `ValueError` with a reason."""
-    connection = http.client.HTTPConnection(address, timeout=WITHIN)
+    connection = http.client.HTTPConnection(address, timeout=within)
     try:
-        connection.request("GET", path)
+        connection.request(method, path)
         answer = connection.getresponse()
         body = answer.read().decode()
     except http.client.HTTPException as error:
--- a/switchhub/peers/form.py
+++ b/switchhub/peers/form.py
@@ -6,6 +6,7 @@
 | version | what |
 | --- | --- |
 | 1 | membership: `Ping`, `Indirect`, `Ack`, `Nack`, `Whole` |
+| 1 | leases: `Ask` to `Learnt` (`leases/messages.py`); a process that has none counts them as `garbage` |
 
 A further field at an array's end keeps the version; anything else raises it. Other versions are ignored.
 """
@@ -14,9 +15,11 @@
 
 from msgspec import DecodeError, Raw, Struct, ValidationError, msgpack
 
-from switchhub.membership.messages import Message
+from switchhub.leases import messages as leases
+from switchhub.membership import messages as membership
 
 VERSION = 1
+Message = membership.Message | leases.Message
 DATAGRAM = 1200  # bytes: what passes unbroken on any path
 WHOLE = 1 << 20  # bytes of a whole belief
 
--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -1,6 +1,7 @@
 """This balancer among the others: one UDP socket, connections for whole beliefs, and a thread of its own.
 
-Owns: both sockets at the peers' address, the thread, the clock that the core is given (CLOCK_MONOTONIC).
+Owns: both sockets at the peers' address, the thread, the clock that the cores are given (CLOCK_BOOTTIME: it
+counts on while the machine sleeps, for a lease that is over must be over when it wakes).
 Must never: decide who is there (`membership.core` does), take what does not decode for more than a number, or
 keep the balancer from serving: an address that is taken is asked for again, and said.
 
@@ -18,31 +19,45 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
+from pathlib import Path
 from typing import Any
+from urllib.parse import unquote
 
 import uvloop
 from loguru import logger
 
+from switchhub.leases.messages import Who
+from switchhub.leases.rules import Terms
+from switchhub.leases.service import TOLD, Leases
+from switchhub.leases.tokens import Tokens
 from switchhub.lifecycle.phase import Phase
 from switchhub.membership.core import Change, Membership, Options
-from switchhub.membership.messages import Message, State, Whole
+from switchhub.membership.messages import Ack, Indirect, Nack, Ping, State, Whole
 from switchhub.net.config import ConfigError, parse_address
+from switchhub.operator_file import Leases as LeaseTerms
 from switchhub.operator_file import Peers
-from switchhub.peers.form import DATAGRAM, WHOLE, FormError, pack, unpack
+from switchhub.peers.form import DATAGRAM, WHOLE, FormError, Message, pack, unpack
 
 AT_ONCE = 64  # datagrams read before anything else has its turn
 LISTENERS, TALKERS = 32, 16  # connections taken in and made at a time
 WITHIN = 2.0  # seconds for one connection
 AGAIN = 0.1  # seconds until an address that is taken is asked for again
 NAME_MOST = 48  # bytes of a name
+MEMBERSHIP = (Ping, Indirect, Ack, Nack, Whole)
 ROUND = 0.5  # seconds that the thread may take to end
 
 
+def clock() -> float:
+    """Seconds, by the cores' clock."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Node:
     """The thread, and what it owns."""
 
-    def __init__(self, told: Peers, name: str) -> None:
+    def __init__(self, told: Peers, name: str, leases: LeaseTerms | None = None) -> None:
         if not 0 < len(name.encode()) <= NAME_MOST or "~" in name:
             raise ConfigError(
                 f"name={name!r}: expected 1 to {NAME_MOST} bytes without '~' where there are peers"
@@ -58,6 +73,16 @@
             whole=float(told.whole_s),
             remember=float(told.remember_s),
         )
+        self._terms = None
+        self._tokens = None if leases is None or not leases.folder else Tokens(Path(leases.folder), name)
+        if leases is not None:
+            self._terms = Terms(
+                tuple(leases.voters),
+                leases.length_ms / 1000,
+                leases.longest_ms / 1000,
+                leases.margin_ms / 1000,
+            )
+        self._leases: Leases | None = None
         self.counts: Counter[str] = Counter()
         self._lock = threading.Lock()
         self._core: Membership | None = None
@@ -87,13 +112,60 @@
         self._loop.call_soon_threadsafe(self._leave)
         self._thread.join(ROUND)
 
-    def members(self) -> str:
-        """Who is there, as JSON."""
+    def pages(self) -> dict[str, Callable[[str, str], tuple[int, str]]]:
+        """What staff may read and say at the management address."""
+        pages: dict[str, Callable[[str, str], tuple[int, str]]] = {"/members": self._page_members}
+        if self._terms is not None:
+            pages["/leases"] = self._page_leases
+            for verb in ("hold", "let-go", "release", "hand-on"):
+                pages[f"/leases/{verb}"] = partial(self._page_lease, verb)
+        return pages
+
+    def _page_members(self, method: str, query: str) -> tuple[int, str]:
+        if method != "GET":
+            return 405, "this path takes GET\n"
+        with self._lock:
+            return 200, json.dumps(self._rows(), indent=1) + "\n"
+
+    def _page_leases(self, method: str, query: str) -> tuple[int, str]:
+        if method != "GET":
+            return 405, "this path takes GET\n"
         with self._lock:
-            return json.dumps(self._rows(), indent=1) + "\n"
+            rows = [] if self._leases is None else self._leases.rows(clock())
+            return 200, json.dumps(rows, indent=1) + "\n"
+
+    def _page_lease(self, verb: str, method: str, query: str) -> tuple[int, str]:
+        """`NAME`, or `NAME&HEIR`: want it for a while, let it go, hand it on."""
+        if method != "PUT":
+            return 405, "this path takes PUT\n"
+        name, _, heir = (unquote(part) for part in query.partition("&"))
+        if not 0 < len(name.encode()) <= 64:
+            return 400, "expected a name of 1 to 64 bytes behind the ?\n"
+        with self._lock:
+            leases, core, now = self._leases, self._core, clock()
+            if leases is None or core is None:
+                return 503, "not among the others yet\n"
+            if verb == "hold":
+                leases.keep(name, now)
+            elif verb == "let-go":
+                leases.let_go(name, now)
+            else:
+                member = core.members.get(heir)
+                if verb == "hand-on" and (member is None or member.news.state is not State.ALIVE):
+                    return 409, f"{heir!r} is nobody who is alive\n"
+                address = member.news.address if member is not None else ""
+                if not leases.end(name, now, heir, address):
+                    return 409, f"{name!r} is not wanted here\n"
+            self._loop.call_soon_threadsafe(self._turn)
+            rows = [row for row in leases.rows(now) if row["name"] == name]
+            row = rows[0] if rows else {"name": name, "mine": False, "token": 0, "remaining_ms": 0}
+            # Danger: who hears nothing more from us acts for so long; we release the name no sooner.
+            row = {**row, "ends": leases.ends(name)}
+            row = {**row, "remaining_ms": min(int(str(row["remaining_ms"])), TOLD)}
+            return 200, json.dumps(row) + "\n"
 
     def _rows(self) -> dict[str, object]:
-        core, now = self._core, time.monotonic()
+        core, now = self._core, clock()
         if core is None:
             return {
                 "name": self._name,
@@ -129,13 +201,19 @@
         self._wanted = wanted
         if wanted:
             self._start(self._serve())
-        else:
-            self._shut()
+            return
+        with self._lock:
+            if self._leases is not None:  # its successor may hold them at once
+                self._leases.leave(clock())
+                self._flush()
+        self._shut()
 
     def _leave(self) -> None:
         with self._lock:
             if self._core is not None and self._udp is not None:
-                self._core.leave(time.monotonic())
+                if self._leases is not None:
+                    self._leases.leave(clock())
+                self._core.leave(clock())
                 self._flush()
         self._loop.stop()
 
@@ -151,7 +229,7 @@
             self._timer.cancel()
             self._timer = None
         with self._lock:
-            self._core = None
+            self._core = self._leases = None
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
@@ -171,12 +249,17 @@
                 said = True
                 self.counts["address_taken"] += 1
                 await asyncio.sleep(AGAIN)
-        now = time.monotonic()
+        now = clock()
         with self._lock:
             self._since = now
             life, seed = int.from_bytes(os.urandom(4)), int.from_bytes(os.urandom(8))
             seeds = tuple(self._told.seeds)
             self._core = Membership(self._name, self._told.address, life, seeds, self._options, seed, now)
+            if self._terms is not None:
+                me, floor = Who(self._name, life, self._told.address), None
+                if self._tokens is not None:
+                    floor = self._tokens.read()
+                self._leases = Leases(me, self._terms, seed, now, floor, self._tokens is not None)
         self._udp = udp
         logger.info("peers: {} of {} at {}", self._name, self._told.cluster, self._told.listen)
         self._loop.add_reader(udp, self._readable)
@@ -228,21 +311,31 @@
             self.counts[error.kind] += 1
             return
         with self._lock:
-            if self._core is not None:
-                self._core.receive(time.monotonic(), message)
-                self._flush()
+            if isinstance(message, MEMBERSHIP):
+                if self._core is not None:
+                    self._core.receive(clock(), message)
+            elif self._leases is not None:
+                self._leases.receive(clock(), message)
+            else:
+                self.counts["garbage"] += 1
+            self._flush()
 
     def _turn(self) -> None:
-        self._timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         with self._lock:
             if self._core is not None:
-                self._core.turn(time.monotonic())
+                self._core.turn(clock())
+                if self._leases is not None:
+                    self._leases.turn(clock())
                 self._flush()
 
     def _flush(self) -> None:
         """Send what the core has to say, write down what has changed, and wake when it is due."""
-        core = self._core
-        assert core is not None
+        core, leases = self._core, self._leases
+        if core is None:
+            return
         out, core.out = core.out, []
         for address, message in out:
             if isinstance(message, Whole):
@@ -253,12 +346,23 @@
             _log(change)
         core.changes.clear()
         due = core.deadline()
+        if leases is not None:
+            voter = leases.voter
+            if self._tokens is not None and voter is not None and (top := voter.reserve()) is not None:
+                voter.bound = self._tokens.write(top, voter.bound)
+            said, leases.out = leases.out, []
+            for to, word in said:
+                self._send(to, word)
+            for line in leases.said:
+                logger.info("leases: {}", line)
+            leases.said.clear()
+            due = min(due, leases.deadline())
         if due == float("inf") or (self._timer is not None and self._timer_at <= due):
             return
         if self._timer is not None:
             self._timer.cancel()
         self._timer_at = due
-        self._timer = self._loop.call_later(max(0.0, due - time.monotonic()), self._turn)
+        self._timer = self._loop.call_later(max(0.0, due - clock()), self._turn)
 
     def _send(self, address: str, message: Message) -> None:
         data = pack(self._told.cluster, message)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,6 +54,33 @@
     ),
     "a storm of clients at one": (5, "storm n0 1500", "3000", "agree 6"),
 }  # fmt: skip
+DUTIES: dict[str, tuple[str, ...]] = {
+    "killed, then stopped": (
+        "acts d 8", "500", "kill @d", "passes d 4.5", "500", "stop @d", "passes d 4.5", "500",
+    ),
+    "handed on, then cut off from all, and back": (
+        "acts d 8", "hand-on d 2", "500", "cut @d *", "passes d 4.5", "1000", "heal", "acts d 1", "agree 6",
+    ),
+    "heard by nobody, then hearing nobody": (
+        "acts d 8", "oneway @d *", "passes d 4.5", "heal", "agree 8", "oneway * @d", "passes d 4.5", "500",
+    ),
+    "with one voter in a minority": (
+        "acts d 8", "cut n0,@d -n0,@d", "passes d 4.5", "1500", "heal", "agree 6",
+    ),
+    "a voter started again within the lease, and another": (
+        "acts d 8", "kill n1", "start n1", "500", "acts d 1", "4500", "kill n2", "start n2", "4500",
+        "acts d 1",
+    ),
+    "all voters killed at once, back one by one": (
+        "acts d 8", "kill n0,n1,n2", "4000", "start n0", "300", "start n1", "300", "start n2",
+        "acts d 10",
+    ),
+    "an upgrade of the holder": ("acts d 8", "upgrade @d", "passes d 4.5", "agree 5"),
+    "a storm at the holder": ("acts d 8", "storm @d 1500", "3000", "acts d 1"),
+    "late, doubled and lost": (
+        "acts d 8", "loss * * 0.2", "double * * 0.3", "delay * * 5 60", "6000", "heal", "acts d 4.5",
+    ),
+}  # fmt: skip
 AT_ONCE = 3
 SEEDLESS = Plan(5, ("start n2,n3,n4", "2500", "view n2,n3,n4 alone 3", "start n0", "agree 5"), start=False)
 
@@ -69,6 +96,18 @@
         assert not record.faults(), failed(record)
 
 
+@pytest.mark.parametrize("at", range(0, len(DUTIES), AT_ONCE))
+def test_a_duty_has_one_holder_and_soon_another(at: int) -> None:
+    """Judged by who acts: under one token one alone, and nobody under a token after a higher one was seen."""
+    holders = "duty n0,n3,n4 d"
+    plans = [
+        Plan(5, (holders, *steps), name=name, voters=3)
+        for name, steps in list(DUTIES.items())[at : at + AT_ONCE]
+    ]
+    for record in play_all(plans, AT_ONCE):
+        assert not record.faults() and len(record.effects) > 50, failed(record)
+
+
 def test_with_its_only_seeds_dead_at_the_start_it_serves_and_joins_later() -> None:
     (record,) = play_all([SEEDLESS], 1)
     assert not record.faults(), failed(record)
@@ -87,6 +126,10 @@
 
 def test_the_record_tells_a_burial_that_nothing_explains() -> None:
     """The judge itself: without a trouble the same log line is a fault, and with one it is none."""
+    record = Record("", balancers=3, effects=[(1.0, "d", 1, "n0"), (1.1, "d", 2, "n1"), (1.2, "d", 1, "n0")])
+    assert record.faults() == ["d: 1 effects under a spent token, the first (1.2, 1, 'n0')"]
+    record.effects[-1] = (1.2, "d", 2, "n0")
+    assert record.faults() == ["d: token 2 was n1's and n0's"]
     line = "   5.000 05:00 INFO peers: n1 alive -> dead (incarnation 0): suspected for 1.0 s"
     record = Record("", balancers=3, logs={"n0": [line]}, done=[(1.0, "agree 3")])
     assert record.faults() == ["n0 buried n1 at 5.00, and nothing had been done to either"]
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from switchhub.lab.explorer import explore
@@ -10,6 +12,7 @@
 from switchhub.leases.asker import Asker, Votes
 from switchhub.leases.messages import Answer, Bid, Drop, Learnt, Message, Renew, Who
 from switchhub.leases.rules import JUMP, Terms, kept
+from switchhub.leases.tokens import Tokens
 from switchhub.leases.voter import Voter
 
 MOST = 60_000
@@ -206,6 +209,31 @@
     assert voter.votes and voter.floor == 0
 
 
+def test_with_a_file_no_token_is_voted_for_before_it_is_written_down(tmp_path: Path) -> None:
+    """Nor is anything written by a voter that does not know the others' tokens yet."""
+    tokens = Tokens(tmp_path, "v0")
+    voter = Voter(_who("v0"), TERMS, 0.0, tokens.read(), files=True)
+    assert voter.reserve() is None
+    voter.turn(2.0)
+    (seq,) = {each.seq for each in _said(voter)}
+    voter.receive(2.0, Learnt(seq, _who("v1"), 70, True))
+    voter.receive(2.0, Learnt(seq, _who("v2"), 9, True))
+    voter.receive(2.1, _bid("a", 71))
+    assert _said(voter) == [Answer(1, voter.me, "duty", 71, False, 70, "token not written down yet")]
+    top = voter.reserve()
+    assert top and top > 70
+    voter.bound = tokens.write(top, voter.bound)
+    voter.receive(2.2, _bid("a", 71))
+    assert _said(voter) == [Answer(1, voter.me, "duty", 71, True, 71, "")]
+    assert voter.reserve() is None and Tokens(tmp_path, "v0").read() == top
+    again = Voter(_who("v0"), TERMS, 3.0, top, files=True)
+    again.turn(4.2)
+    assert again.votes and again.floor == top
+    assert Tokens(tmp_path / "gone", "v0").write(9, 5) == 5
+    (tmp_path / f"tokens-{b'v1'.hex()}").write_text("x", encoding="ascii")
+    assert Tokens(tmp_path, "v1").read() is None
+
+
 def test_words_of_long_ago_change_nothing() -> None:
     voter = _voter()
     voter.receive(0.0, _bid("a", 1))
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         self.drains, self.draining, self.stopping = 0, False, False
-        self.pages: dict[str, Callable[[], str]] = {}
+        self.pages: dict[str, Callable[[str, str], tuple[int, str]]] = {}
 
     def healthy(self) -> bool:
         return not self.draining
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from switchhub.leases import messages as leases
 from switchhub.membership.core import NEWS_MOST, Membership, Options
 from switchhub.membership.messages import Ack, Indirect, Message, Nack, News, Ping, Source, State, Whole
 from switchhub.operator_file import OperatorError, read
@@ -52,6 +53,7 @@
         except FormError as error:
             assert error.kind in ("garbage", "other_cluster", "other_version")
             continue
+        assert not isinstance(heard, leases.Message)
         member.receive(0.0, heard)
         member.turn(1.0)
         assert all(len(pack("river", send.message)) < 2 * DATAGRAM for send in member.out)
@@ -133,6 +135,11 @@
         ),
         ('[peers]\ncluster = "r"\nlisten = "1.2.3.4:0"\n', "a port other than 0"),
         ("peers = 3\n", "expected a table"),
+        ('[leases]\nvoters = ["1.2.3.4:5", "1.2.3.4:6"]\n', r"1, 3, 5 or 7 of them, there are 2"),
+        ('[leases]\nvoters = ["1.2.3.4:5"]\n', r"expected \[peers\] too"),
+        ('[leases]\nvoters = ["a", "b", "b"]\nlength_ms = 500\n', r"'b' stands there 2 times"),
+        ('[leases]\nvoters = ["1.2.3.4:5"]\nlongest_ms = 2000\n', "length_ms = 3000 or more"),
+        ('[leases]\nvoters = ["1.2.3.4:5"]\nmargin_ms = 900\n', "a quarter of length_ms"),
     ],
 )
 def test_what_else_an_operator_file_may_not_be(tmp_path: Path, text: str, says: str) -> None:
