--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,15 +5,19 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from switchhub.lab.explorer import explore
 from switchhub.lab.holders import TERMS, Duties
-from switchhub.leases import rules
+from switchhub.leases import messages, rules
 from switchhub.leases.asker import Asker, Votes
 from switchhub.leases.messages import Answer, Bid, Drop, Learnt, Message, Renew, Who
 from switchhub.leases.rules import JUMP, Terms, kept
+from switchhub.leases.service import KEEPS, TOLD, Leases
 from switchhub.leases.tokens import Tokens
 from switchhub.leases.voter import Voter
+from switchhub.peers.form import DATAGRAM, pack
 
 MOST = 60_000
 
@@ -349,3 +353,74 @@
     table.run(0.05)
     assert table.askers[heir].held("duty", table.now)
     assert [name for name, asker in table.askers.items() if asker.held("duty", table.now)] == [heir]
+
+
+_whos = st.builds(
+    Who, st.sampled_from(["v0", "a", "x"]), st.integers(0, 3), st.sampled_from(["v0", "v1", "a:1"])
+)
+_tokens = st.one_of(st.integers(0, 5), st.integers(0, 2**62 - 1))
+_seqs, _names = st.integers(0, 5), st.sampled_from(["duty", "other"])
+_words = st.one_of(
+    st.builds(messages.Ask, _seqs, _whos, _names, _tokens),
+    st.builds(
+        messages.Told, _seqs, _whos, _names, st.booleans(), st.just("x"), st.integers(0, 2**32 - 1), _tokens
+    ),
+    st.builds(Bid, _seqs, _whos, _names, _tokens, st.integers(1, 600_000), st.just(TERMS.electorate)),
+    st.builds(Answer, _seqs, _whos, _names, _tokens, st.booleans(), _tokens, st.just("token spent")),
+    st.builds(Renew, _seqs, _whos, st.integers(1, 600_000), st.just(TERMS.electorate)),
+    st.builds(messages.Renewed, _seqs, _whos, st.integers(0, 3), st.integers(0, 2**62 - 1)),
+    st.builds(Drop, _seqs, _whos, _names, _tokens, st.sampled_from(["", "a"])),
+    st.builds(messages.Dropped, _seqs, _whos),
+    st.builds(messages.Pass, _seqs, _whos, _names, _tokens),
+    st.builds(messages.Learn, _seqs, _whos),
+    st.builds(Learnt, _seqs, _whos, _tokens, st.booleans()),
+)
+
+
+@given(st.lists(_words, max_size=30), st.floats(0.0, 0.5))
+def test_any_words_in_any_order_are_borne(words: list[Message], apart: float) -> None:
+    """One that votes and holds: no word is too strange, and what it says fits a datagram."""
+    node = Leases(_who("v0"), TERMS, 1, 0.0, 0)
+    node.keep("duty", 0.0)
+    now = 0.0
+    for word in words:
+        now += apart
+        node.receive(now, word)
+        if node.deadline() <= now:
+            node.turn(now)
+        assert all(len(pack("river", send.message)) <= DATAGRAM for send in node.out)
+        node.out.clear()
+        node.rows(now)
+    top = node.voter.tops.get("duty", 0) if node.voter is not None else 0
+    assert top >= 0 and len(node.rows(now)) <= 2
+
+
+def test_a_name_for_a_command_outside_is_kept_longer_than_that_is_told_and_let_go_by_it_alone() -> None:
+    one = Terms(("v0",), length=3.0, longest=3.0)
+    node = Leases(_who("v0"), one, 1, -10.0, 0)
+    now = 0.0
+
+    def run(until: float) -> None:
+        nonlocal now
+        while now < until:
+            now += 0.01
+            node.turn(now)
+            while node.out:
+                said, node.out = node.out, []
+                for send in said:
+                    node.receive(now, send.message)
+
+    node.keep("duty", now)
+    run(1.0)
+    (row,) = node.rows(now)
+    assert row["mine"]
+    node.keep("duty", now)
+    assert node.end("duty", now, "v1", "v1") and node.ends("duty")
+    run(1.0 + TOLD / 1000)
+    assert node.rows(now)[0]["mine"]  # the command may act still
+    run(1.0 + KEEPS + 0.1)
+    assert node.asker.held("duty", now) is None
+    node.keep("duty", now)
+    run(now + 1.6)
+    node.leave(now)  # the process goes: what acts outside is not pulled away
+    assert "duty" in node.asker.wants
