Leases: one voter heard first puts nobody off; the rig finds the explorer's mutants

Cause, found while the rig was to find a voter that does not wait after its restart: candidates did not ask for 3 s though two of three voters were free. The answer of the one that kept an old word was heard first, and with one free voter beside it the question was ended as held. Conclude so only where the voters that hold a word for somebody leave no majority.

--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -8,6 +8,8 @@
 
     kill A, stop A, wake A, term A   SIGKILL, SIGSTOP, SIGCONT, SIGTERM
     start A [RATE[,SECONDS,JUMP]]    again, or under a wrong clock (`clock.py`)
+    twin A                           another process under the same name, at an address of its own
+    told A WORD SECONDS              the log of each of A has this word within so long (`_` for a space)
     upgrade A                        a new process beside the old one, which is told to end once that serves
     take A, give A                   its peers' address is another's; and is free again
     choke A, free A                  no further descriptor; as many as before
@@ -64,12 +66,12 @@
 NAMES = {  # how many lists of names a step has
     **dict.fromkeys(("heal", "agree", "acts", "passes", "hand-on"), 0),
     **dict.fromkeys(("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "upgrade"), 1),
-    **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give", "duty"), 1),
+    **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give", "duty", "twin", "told"), 1),
     **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold", "say"), 2),
 }
 FIGURES = {  # and how many figures or words at least
     **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none", "duty"), 1),
-    **dict.fromkeys(("say", "view", "acts", "passes", "hand-on"), 2),
+    **dict.fromkeys(("say", "view", "acts", "passes", "hand-on", "told"), 2),
 }
 WAITS = (
     "heal",
@@ -83,6 +85,7 @@
     "passes",
     "hand-on",
     "duty",
+    "told",
 )  # all others are troubles
 
 
@@ -96,10 +99,12 @@
     start: bool = True
     name: str = ""
     voters: int = 0  # the first so many; none: no leases
+    launch: str = "switchhub"  # the module that is started
 
     def toml(self) -> str:
         """As a file."""
         head = {"name": self.name, "balancers": self.balancers, "start": self.start, "voters": self.voters}
+        head["launch"] = self.launch
         lines = [f"{key} = {json.dumps(value)}" for key, value in head.items()]
         lines += ["steps = [", *(f"    {json.dumps(step)}," for step in self.steps), "]", "", "[peers]"]
         return "\n".join([*lines, *(f"{key} = {value}" for key, value in self.peers.items())]) + "\n"
@@ -111,7 +116,7 @@
         data = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise PlanError(f"{where}: {error}") from None
-    keys = ("name", "balancers", "steps", "peers", "start", "voters")
+    keys = ("name", "balancers", "steps", "peers", "start", "voters", "launch")
     if unknown := sorted(set(data) - set(keys)):
         raise PlanError(f"{where}: {unknown[0]}: expected one of {', '.join(keys)}")
     balancers, steps = data.get("balancers"), data.get("steps")
@@ -123,7 +128,8 @@
     if voters not in (0, 1, 3, 5, 7) or voters > balancers:
         raise PlanError(f"{where}: voters = {voters!r}: expected 0, 1, 3, 5 or 7, and balancers for them")
     start, name = data.get("start", True), data.get("name", "")
-    plan = Plan(balancers, tuple(steps), data.get("peers", {}), start, name, voters)
+    launch = data.get("launch", "switchhub")
+    plan = Plan(balancers, tuple(steps), data.get("peers", {}), start, name, voters, launch)
     for number, step in enumerate(steps):
         try:
             words(step, balancers)
@@ -150,9 +156,9 @@
     if text == "*":
         return every
     told = ["n0" if each.startswith("@") else each for each in text.removeprefix("-").split(",")]
-    if unknown := [name for name in told if name not in every]:
+    if unknown := [name for name in told if name.removesuffix("-twin") not in every]:
         raise PlanError(f"{unknown[0]!r}: expected names from n0 to n{count - 1}")
-    return [name for name in every if (name in told) is not text.startswith("-")]
+    return [name for name in every if name not in told] if text.startswith("-") else told
 
 
 @dataclass(slots=True)
@@ -280,12 +286,11 @@
             self._effects.bind(("127.0.0.1", 0))
             asyncio.get_running_loop().add_reader(self._effects, self._acted)
             discovery, listing = await self._stand_ins(["s0", "s1", "s2"])
+            self._discovery, self._listing = discovery, listing
             for name in self.names:
                 own, stands = (self._own[name], self._peers_port), (self._stands[name], self._peers_port)
                 await self._between.add(name, own, stands)
-                listen = f"{self._own[name]}:{self._clients_port}"
-                configure(self._path(name), name, len(self.names), listen, discovery, listing)
-                self._path(name, "toml").write_text(self._operator(name), encoding="utf-8")
+                self._configure(name, name)
             steps = list(self.plan.steps)
             if self.plan.start:
                 steps = ["start *", f"agree {MEET:.0f}", *steps]
@@ -367,6 +372,9 @@
         elif verb in ("acts", "passes", "hand-on"):
             await self._wait_for_effect(verb, rest[0], float(rest[1]))
             self.record.took[step] = round(self.now() - begun, 3)
+        elif verb == "twin":
+            for name in named[0]:
+                await self._twin(name)
         elif verb == "upgrade":
             for name in named[0]:
                 await self._upgrade(name)
@@ -393,7 +401,7 @@
                     self._start(client)
         elif verb == "heal":
             self._between.heal()
-        elif verb in ("say", "view", "agree", "none"):
+        elif verb in ("say", "view", "agree", "none", "told"):
             await self._wait_for(verb, named, rest)
             self.record.took[step] = round(self.now() - begun, 2)
         else:
@@ -416,7 +424,7 @@
     async def _start_all(self, names: list[str], clock: str) -> None:
         for name in names:
             before = len(self.record.logs.get(name, ()))
-            module = "switchhub.lab.faults.clock" if clock else "switchhub"
+            module = "switchhub.lab.faults.clock" if clock else self.plan.launch
             environ = {"LAB_CLOCK": clock} if clock else {}
             await self._start_process(
                 name,
@@ -433,6 +441,21 @@
         await self._until(lambda: any("listens on" in line for line in self.record.logs[name][before:]), 60.0)
         self._serving.append(name)
 
+    def _configure(self, name: str, called: str) -> None:
+        listen = f"{self._own[name]}:{self._clients_port}"
+        count = self.plan.balancers
+        configure(self._path(name), called, count, listen, self._discovery, self._listing)
+        self._path(name, "toml").write_text(self._operator(name), encoding="utf-8")
+
+    async def _twin(self, name: str) -> None:
+        twin, number = f"{name}-twin", len(self._own) + 1
+        self._own[twin] = f"{self._net}.{number}"
+        self._stands[twin] = f"{self._stands[name].rsplit('.', 1)[0]}.{number}"
+        own, stands = (self._own[twin], self._peers_port), (self._stands[twin], self._peers_port)
+        await self._between.add(twin, own, stands)
+        self._configure(twin, name)
+        await self._start_all([twin], "")
+
     async def _upgrade(self, name: str) -> None:
         """As staff do it. Afterwards the name means the new process."""
         old = self._processes[name]
@@ -548,6 +571,11 @@
         if verb == "none":
             await self._still(named[0], rest[0])
             return
+        if verb == "told":
+            word, logs = rest[0].replace("_", " "), self.record.logs
+            told = [logs[name] for name in named[0]]
+            await self._until(lambda: all(any(word in line for line in log) for log in told), float(rest[1]))
+            return
         async with asyncio.timeout(float(rest[-1])):
             while not self._holds(
                 verb, named, rest[0], await self._look(*(named[0] if named else self.names))
--- a/switchhub/leases/asker.py
+++ b/switchhub/leases/asker.py
@@ -286,8 +286,10 @@
             self._bid(want, now, max(each.top for each in told) + 1)
             return
         left = sorted(each.left_ms for each in told if each.votes)
-        if len(left) >= self.terms.majority and left[self.terms.majority - 1]:
-            # Held: ask when it may be over, and sooner, for it may be let go.
+        held = sum(each > 0 for each in left)
+        if held > len(self.terms.voters) - self.terms.majority and len(left) >= self.terms.majority:
+            # Held, whatever the others say: ask when it may be over, and sooner, for it may be let go.
+            # Danger: concluded from fewer, one voter that keeps an old word and is heard first puts all off.
             want.tries = 0
             self._later(want, now, min(left[self.terms.majority - 1] / 1000, self.terms.length / 4))
 
--- a/switchhub/leases/voter.py
+++ b/switchhub/leases/voter.py
@@ -184,6 +184,8 @@
             return "token not written down yet"
         if len(self.tops) >= NAMES_MOST and lease not in self.tops:
             self._prune(now)
+            if len(self.tops) >= NAMES_MOST:
+                return "too many names"
         self.tops[lease] = max(top, message.token)
         until = now + kept(message.length_ms / 1000)
         if again and grant is not None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 
 import pytest
 
@@ -31,6 +32,16 @@
     "only small datagrams pass, and no connection": (
         5, "narrow * * 150", "hold * *", "3000", "say * * alive 1", "heal", "agree 3",
     ),
+    "three groups that see each other through one of each only": (
+        9, "cut n1,n2 n3,n4,n5,n6,n7,n8", "cut n4,n5 n0,n6,n7,n8", "cut n7,n8 n0,n3", "5000", "heal",
+        "agree 6",
+    ),
+    "a bridge that alone sees both sides": (
+        7, "cut n0,n1,n2 n3,n4,n5", "5000", "say * * alive 4", "heal", "agree 4",
+    ),
+    "two processes of one name": (
+        5, "twin n2", "told n2-twin two_processes 6", "say -n2 n2 alive 3", "3000", "say -n2 n2 alive 1",
+    ),
     "an upgrade is one member": (5, "upgrade n1", "agree 3", "upgrade n1,n2", "agree 3", "say * * alive 1"),
     "the peers' address is taken for a while": (
         5, "kill n1", "take n1", "start n1", "say -n1 n1 dead 4", "give n1", "agree 4",
@@ -108,6 +119,46 @@
         assert not record.faults() and len(record.effects) > 50, failed(record)
 
 
+CORE, VOTER = "switchhub.membership.core:Membership", "switchhub.leases.voter:Voter"
+
+
+@pytest.mark.parametrize(
+    ("mutant", "plan"),
+    [
+        (
+            f"{CORE}=tests.test_circle:NeverRefutes",
+            Plan(5, ("kill n1", "say -n1 n1 dead 4", "start n1", "agree 4")),
+        ),
+        (f"{CORE}=tests.test_circle:NeverBuries", Plan(5, ("kill n1", "say -n1 n1 dead 4"))),
+        (
+            f"{CORE}=tests.test_circle:NeverCalls",
+            Plan(5, ("cut n0,n1 n2,n3,n4", "say n0,n1 n2,n3,n4 dead 6", "heal", "agree 6")),
+        ),
+        (
+            f"{CORE}=tests.test_circle:AsksOnce",
+            Plan(5, ("oneway n0 n1", "3000", "heal", "agree 4")),
+        ),
+        (
+            f"{VOTER}=tests.test_leases:NoWait",
+            Plan(
+                5,
+                ("duty n0,n3,n4 d", "acts d 8", "cut @d n1,n2", "kill n1,n2", "start n1,n2", "5000"),
+                voters=3,
+            ),
+        ),
+    ],
+)
+def test_the_rig_finds_what_the_explorer_finds(
+    mutant: str, plan: Plan, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The same plan is sound with the program as it is, and is not with a part of it replaced."""
+    monkeypatch.setenv("LAB_MUTANT", mutant)
+    sound, wrong = play_all([plan, replace(plan, launch="tests.lab.start_mutant")], 2)
+    assert not sound.faults(), failed(sound)
+    assert not any("traceback" in each for each in wrong.faults()), failed(wrong)
+    assert wrong.faults() or (wrong.buried() and not sound.buried()), failed(wrong)
+
+
 def test_with_its_only_seeds_dead_at_the_start_it_serves_and_joins_later() -> None:
     (record,) = play_all([SEEDLESS], 1)
     assert not record.faults(), failed(record)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -58,7 +58,9 @@
 class NoWait(Voter):
     """Votes at once after it has forgotten."""
 
-    def __init__(self, me: Who, terms: Terms, now: float, floor: int | None = None) -> None:
+    def __init__(
+        self, me: Who, terms: Terms, now: float, floor: int | None = None, files: bool = False
+    ) -> None:
         super().__init__(me, terms, now, 0)
         self._waits_until = self._learn_at = now
 
@@ -279,6 +281,10 @@
     for number in range(rules.NAMES_MOST + 5):
         voter.receive(number * 0.01, _bid("a", 3, lease=f"x{number}"))
     assert len(voter.tops) < rules.NAMES_MOST and len(voter.grants) < 300
+    for number in range(rules.NAMES_MOST + 5):  # all at once: none is forgotten for a further one
+        voter.receive(500.0, _bid("a", 9, lease=f"y{number}"))
+    assert len(voter.tops) == len(voter.grants) == rules.NAMES_MOST
+    assert _said(voter)[-1].why == "too many names"  # type: ignore[union-attr]
     voter.receive(1e6, _bid("b", 3, lease="x0"))
     assert _said(voter)[-1].why == "token spent"  # type: ignore[union-attr]
 
@@ -424,3 +430,15 @@
     run(now + 1.6)
     node.leave(now)  # the process goes: what acts outside is not pulled away
     assert "duty" in node.asker.wants
+
+
+def test_one_voter_that_keeps_an_old_word_puts_nobody_off() -> None:
+    """Found on the rig: heard first, it ended the question before the two that are free were heard."""
+    asker = Asker(_who("a"), TERMS, 1, 0.0)
+    asker.want("duty", 0.0)
+    asker.turn(0.0)
+    (seq,) = {send.message.seq for send in asker.out}
+    asker.out.clear()
+    for name, holder, left in (("v0", "b", 900), ("v1", "", 0), ("v2", "", 0)):
+        asker.receive(0.01, messages.Told(seq, _who(name), "duty", True, holder, left, 4))
+    assert [send.message.token for send in asker.out if isinstance(send.message, Bid)] == [5, 5, 5]
