A command whose lease was lost and won again between two calls is ended

Cause, by reading the change once more: lease hold extended its command's time whenever the balancer said mine with a token no lower than before. Lost and won again within the 0.3 s between two calls, with somebody else's token in between, the command went on under a spent token.

Change: the balancer tells the token that its present hold began with, which a raise after a voter's restart does not change; another one ends the command (status 3). Gone with it: a way to hold for parts of the process that nothing used, three fields that nobody read.

--- a/switchhub/leases/asker.py
+++ b/switchhub/leases/asker.py
@@ -70,6 +70,7 @@
     told: dict[str, Told] = field(default_factory=dict)  # by voter, in this try
     bid: Votes | None = None  # what is out
     hold: Votes | None = None  # what is held
+    first: int = 0  # the token under which it came to be held: raised ones are this hold's too
     tries: int = 0
     weak: bool = False
 
@@ -108,7 +109,6 @@
         self._gone: list[Gone] = []
         self._renew_at = math.inf
         self._renews: dict[int, float] = {}  # rounds that are out, and when they were sent
-        self._began = now
 
     # What is asked of it.
 
@@ -308,6 +308,7 @@
             self._confirm(bid, voter, bid.sent)
             if bid.until > now:
                 what = "raised" if hold is not None else "held"
+                want.first = bid.token if hold is None else want.first
                 want.hold, want.bid, want.tries = bid, None, 0
                 self.events.append(Event(want.lease, what, bid.token, f"{len(bid.yes)} voters"))
                 self._renew_at = min(self._renew_at, now + self.terms.length / 4)
--- a/switchhub/leases/cli.py
+++ b/switchhub/leases/cli.py
@@ -43,7 +43,12 @@
                 if row["ends"]:
                     print(f"lease: {told.name}: is to be let go, the command is ended", file=sys.stderr)
                     return 3
-                if row["mine"] and (child is None or row["token"] >= token):
+                if row["mine"] and child is not None and row["token"] != token:
+                    # Danger: lost and won again between two calls: somebody has acted in between, and our
+                    # command's token is spent.
+                    print(f"lease: {told.name}: lost for a moment, the command is ended", file=sys.stderr)
+                    return 3
+                if row["mine"]:
                     until, token = asked + row["remaining_ms"] / 1000, row["token"]
             except (OSError, ValueError, KeyError) as error:
                 passes = isinstance(error, OSError) or str(error).startswith("503")
--- a/switchhub/leases/service.py
+++ b/switchhub/leases/service.py
@@ -10,9 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from switchhub.leases.asker import Asker, Event
+from switchhub.leases.asker import Asker
 from switchhub.leases.messages import Answer, Dropped, Message, Pass, Renewed, Send, Told, Who
 from switchhub.leases.rules import Terms
 from switchhub.leases.voter import Voter
@@ -36,13 +34,6 @@
         self.said: list[str] = []  # for the log
         self._keeps: dict[str, float] = {}  # until when names are wanted from outside
         self._ending: dict[str, tuple[str, str]] = {}  # kept names to be let go, and their heirs
-        self._told: dict[str, Callable[[Event], None]] = {}
-
-    def want(self, lease: str, told: Callable[[Event], None], now: float) -> None:
-        """Hold it for a part of this process, which is told what becomes of it."""
-        self._told[lease] = told
-        self.asker.want(lease, now)
-        self._gather()
 
     def keep(self, lease: str, now: float) -> None:
         """Somebody outside wants it, for a while."""
@@ -77,7 +68,6 @@
         self._keeps.pop(lease, None)
         self.asker.release(lease, now, heir, address)
         self._gather()
-        self._told.pop(lease, None)
         return wanted
 
     def leave(self, now: float) -> None:
@@ -116,8 +106,6 @@
     def _gather(self) -> None:
         for event in self.asker.events:
             self.said.append(f"{event.lease} {event.what} (token {event.token}): {event.why}")
-            if event.lease in self._told:
-                self._told[event.lease](event)
         self.asker.events.clear()
         self.out += self.asker.out
         self.asker.out.clear()
@@ -128,7 +116,8 @@
             self.voter.out.clear()
 
     def rows(self, now: float) -> list[dict[str, object]]:
-        """What is known of each name: what this balancer wants, and what it has voted for."""
+        """What is known of each name: what this balancer wants, and what it has voted for. The token of what
+        it holds is the one that the hold began with: it changes only if somebody else may have held since."""
         out: dict[str, dict[str, object]] = {}
         if self.voter is not None:
             for lease, grant in self.voter.grants.items():
@@ -136,10 +125,10 @@
                     left = round((grant.until - now) * 1000)
                     out[lease] = _row(lease, grant.heir or grant.name, grant.token, left, False, "voted for")
         for lease, want in self.asker.wants.items():
-            token = self.asker.held(lease, now)
+            held = self.asker.held(lease, now) is not None
             left = round(self.asker.left(lease, now) * 1000)
-            if token is not None:
-                out[lease] = _row(lease, self.me.name, token, left, True, want.state)
+            if held:
+                out[lease] = _row(lease, self.me.name, want.first, left, True, want.state)
             else:
                 known = out.get(lease, {"holder": "", "token": 0, "remaining_ms": 0})
                 out[lease] = {**known, "name": lease, "mine": False, "state": want.state}
--- a/switchhub/leases/voter.py
+++ b/switchhub/leases/voter.py
@@ -63,13 +63,11 @@
         self.floor = floor or 0  # of names that are not in `tops`
         self.tops: dict[str, int] = {}  # the highest token voted for, by name
         self.grants: dict[str, Grant] = {}
-        self.counts: dict[str, int] = {}
         self.news: list[str] = []  # for the log
         self.bound: float = -1 if files else math.inf
-        self._waits_until = now + kept(terms.longest)
         self._knows = floor is not None
         self._learnt: dict[str, Learnt] = {}  # by voter
-        self._learn_at = self._waits_until
+        self._learn_at = now + kept(terms.longest)  # until then it is silent
         self._seq = 0
         self._rounds: dict[tuple[str, int], int] = {}  # the last round of each holder
 
@@ -206,7 +204,6 @@
             return
         key = who.name, who.life
         if message.seq <= self._rounds.get(key, -1):
-            self._count("renewals.old")
             return
         count, digest = 0, 0
         until = now + kept(message.length_ms / 1000)
@@ -234,6 +231,3 @@
 
     def _say(self, to: Who, message: Message) -> None:
         self.out.append(Send(to.address, message))
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,7 +10,7 @@
 
 from switchhub.lab.explorer import explore
 from switchhub.lab.holders import TERMS, Duties
-from switchhub.leases import messages, rules
+from switchhub.leases import cli, messages, rules
 from switchhub.leases.asker import Asker, Votes
 from switchhub.leases.messages import Answer, Bid, Drop, Learnt, Message, Renew, Who
 from switchhub.leases.rules import JUMP, Terms, kept
@@ -62,7 +62,7 @@
         self, me: Who, terms: Terms, now: float, floor: int | None = None, files: bool = False
     ) -> None:
         super().__init__(me, terms, now, 0)
-        self._waits_until = self._learn_at = now
+        self._learn_at = now
 
 
 class Forgets(Voter):
@@ -343,7 +343,7 @@
             table.run(0.01)
             assert asker.held("duty", table.now)
     last = asker.held("duty", table.now)
-    assert last and last > first
+    assert last and last > first == asker.wants["duty"].first
     assert [event.what for event in asker.events if event.what in ("lost", "weak")] == []
 
 
@@ -442,3 +442,22 @@
     for name, holder, left in (("v0", "b", 900), ("v1", "", 0), ("v2", "", 0)):
         asker.receive(0.01, messages.Told(seq, _who(name), "duty", True, holder, left, 4))
     assert [send.message.token for send in asker.out if isinstance(send.message, Bid)] == [5, 5, 5]
+
+
+def test_a_command_whose_lease_was_lost_and_won_again_between_two_calls_is_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its token is spent: somebody else has acted in between."""
+    tokens = iter([1, 1, 3])
+    let_go: list[str] = []
+
+    def fetch(via: str, path: str, method: str = "GET", within: float = 1.0) -> dict[str, object]:
+        if path.startswith("/leases/let-go"):
+            let_go.append(path)
+            return {}
+        return {"mine": True, "token": next(tokens), "remaining_ms": 1800, "ends": False}
+
+    monkeypatch.setattr(cli, "fetch", fetch)
+    monkeypatch.setattr(cli, "EVERY", 0.05)
+    assert cli.main(["hold", "d", "--via", "x:1", "--", "sleep", "30"]) == 3
+    assert let_go and next(tokens, None) is None
