--- a/switchhub/lab/circle.py
+++ b/switchhub/lab/circle.py
@@ -11,6 +11,7 @@
 import pickle
 from collections.abc import Callable, Hashable, Iterator
 
+from switchhub.lab.explorer import spoilt
 from switchhub.membership.core import Membership, Options, Send
 from switchhub.membership.messages import State
 
@@ -158,15 +159,9 @@
             other.back()
             other.step({})
             yield f"{state.down} is back", other
-        for what in ("lose", "double", "defer", "late"):
-            if not state.budget.get(what) or not (opens or state.calm < LONG):
-                continue
-            for at, (left, sender, send) in enumerate(state.flights):
-                if left == 0:
-                    other = copy()
-                    other.step({at: what})
-                    kind = type(send.message).__name__
-                    yield f"{state.steps}: {what} {kind} {sender} to {send.address}", other
+        if opens or state.calm < LONG:
+            kinds = ("lose", "double", "defer", "late")
+            yield from spoilt(state, [kind for kind in kinds if state.budget.get(kind)], copy)
         other = copy()
         other.step({})
         yield "", other
--- a/switchhub/lab/explorer.py
+++ b/switchhub/lab/explorer.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Iterable
-from typing import NamedTuple, Protocol, TypeVar
+from collections.abc import Callable, Hashable, Iterable, Iterator
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 
 class State(Protocol):
@@ -37,6 +37,31 @@
         ...
 
 
+class Flies(Protocol):
+    """A state with messages on their way: steps until each arrives, its sender, the message."""
+
+    steps: int
+    flights: list[tuple[int, str, Any]]
+
+    def step(self, wrong: dict[int, str]) -> None:
+        """One step; what happens to the messages of these places."""
+        ...
+
+
+AFlies = TypeVar("AFlies", bound=Flies)
+
+
+def spoilt(state: AFlies, kinds: Iterable[str], copy: Callable[[], AFlies]) -> Iterator[tuple[str, AFlies]]:
+    """The states after one step in which one message that is due meets one of these, each in turn."""
+    for what in kinds:
+        for at, (left, sender, send) in enumerate(state.flights):
+            if left == 0:
+                other = copy()
+                other.step({at: what})
+                kind = type(send.message).__name__
+                yield f"{state.steps}: {what} {kind} {sender} to {send.address}", other
+
+
 class Found(NamedTuple):
     """What a search has found."""
 
--- a/switchhub/lab/holders.py
+++ b/switchhub/lab/holders.py
@@ -12,6 +12,7 @@
 import pickle
 from collections.abc import Callable, Hashable, Iterator
 
+from switchhub.lab.explorer import spoilt
 from switchhub.leases.asker import Asker
 from switchhub.leases.messages import Send, Who
 from switchhub.leases.rules import DRIFT, Terms
@@ -231,14 +232,8 @@
                 other.budget["echo"] -= 1
                 other.step({at: "echoed" for at, flight in enumerate(state.flights) if flight[1] == name})
                 yield f"{state.steps}: an echo of all that {name} says", other
-            for what in ("lose", "double", "late"):
-                flights = state.flights if state.budget.get(what) else []
-                for at, (left, sender, send) in enumerate(flights):
-                    if left == 0:
-                        other = copy()
-                        other.step({at: what})
-                        kind = type(send.message).__name__
-                        yield f"{state.steps}: {what} {kind} {sender} to {send.address}", other
+            kinds = [kind for kind in ("lose", "double", "late") if state.budget.get(kind)]
+            yield from spoilt(state, kinds, copy)
         other = copy()
         other.calm = state.calm
         other.step({})
