Who reached a member for us is sent again: a bridge is not left to the lot

The test met one of the good moments or did not. Ruled out: lost refutations (they go over the bridge by gossip; who is buried is back in a second).

Change: an answer that was passed on names who passed it (`Ack.via`, a further field that older processes pass over), and that one is among those sent next time.

--- a/switchhub/membership/core.py
+++ b/switchhub/membership/core.py
@@ -91,6 +91,7 @@
     bury_at: float = math.inf
     witnesses: tuple[str, ...] = ()
     hearsay: bool = False  # never known to live here, and so not passed on
+    via: str = ""  # who reached it for us when we did not
 
 
 @dataclass(slots=True)
@@ -270,6 +271,11 @@
         if probe.others is None:
             others = [name for name in self.others(ALIVE) if name != probe.name]
             asked = self._lot.some(others, self.options.indirect)
+            # Danger: where one alone sees both sides, by lot it is sent now and then only, and the living are
+            # buried: 25 in a minute among seven.
+            via = self.members[probe.name].via
+            if via in others and via not in asked:
+                asked = [*asked[1:], via]
             probe.others = len(asked)
             for name in asked:
                 question = Indirect(probe.seq, self._source(now), probe.name, news.address, self._pick(()))
@@ -394,11 +400,13 @@
             if not probe.answered:
                 probe.answered = True
                 self.health //= 2  # it is told soon that we are well again
+                if message.via and (member := self.members.get(probe.name)) is not None:
+                    member.via = message.via
             return
         relay = self._relays.get(message.seq)
         if relay is not None and relay.target == source.name:
             del self._relays[message.seq]
-            self._send(relay.address, Ack(relay.seq, source, ()))
+            self._send(relay.address, Ack(relay.seq, source, (), self.name))
         elif message.seq in self._challenges and source.life == self._challenges.pop(message.seq):
             if source.name == self.name:  # else it has given the name up already
                 self._two_of_one_name(source.news(), source.age, now)
--- a/switchhub/membership/messages.py
+++ b/switchhub/membership/messages.py
@@ -86,6 +86,7 @@
     seq: Count
     source: Source
     news: Annotated[tuple[News, ...], Meta(max_length=64)]
+    via: Annotated[str, Meta(max_length=64)] = ""  # who passes it on; a process of before does not say
 
 
 class Nack(Struct, frozen=True, array_like=True, tag=4):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -355,3 +355,19 @@
 def test_a_death_is_known_in_time() -> None:
     for count, limit in ((10, 3.0), (100, 4.5)):
         assert max(death(count, seed)["all"] for seed in range(3)) < limit
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_bridge_that_alone_sees_both_sides_is_sent_again(seed: int) -> None:
+    """Found by the rig: with helpers by lot alone somebody was suspected 95% of the time, 25 buried a min."""
+    world = World(7, seed)
+    sides = {"n0", "n1", "n2"}, {"n3", "n4", "n5"}
+    world.run(5.0)
+    world.cut = lambda a, b: any(a in one and b in other for one, other in (sides, sides[::-1]))
+    world.run(10.0)
+    looks = agreed = 0
+    while world.now < 40.0:
+        world.run(world.now + 0.05)
+        looks, agreed = looks + 1, agreed + world.agreed()
+    assert agreed > 0.85 * looks
+    assert len([each for each in world.seen if each.change.after is State.DEAD]) <= 2
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -87,7 +87,7 @@
 
 
 def test_who_is_given_up_as_silent_but_has_spoken_unread_is_heard() -> None:
-    """Found under load: given up after 20 ms for others, with a whole request unread in the kernel, and reset."""
+    """Found under load: given up after 20 ms, with a whole request unread in the kernel, and reset."""
 
     async def run() -> None:
         spoke, silent = Played(), Played()
