--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,35 @@
+"""Which tests start processes: they have the machine to themselves, all others run side by side.
+
+Owns: that list. Must never: skip a test.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+LIVE = frozenset(
+    (
+        "admission",
+        "config",
+        "drain",
+        "fleet",
+        "handover",
+        "herd",
+        "live",
+        "listing",
+        "management",
+        "model",
+        "module",
+        "peers",
+        "program",
+        "reload",
+        "upgrades",
+        "wire",
+    )
+)  # names of files, less `test_`
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    for item in items:
+        if item.path.stem.removeprefix("test_") in LIVE:
+            item.add_marker(pytest.mark.live)
