A checker of lease histories, and plans drawn with a duty held all along

Need: leases were judged on the rig by scripted plans only, by two loops inside the record; the issue wants a checker of its own, itself tested, and hundreds of drawn plans.

Change: `lab/history.py` checks a history of held, renewed, lost and effects on one clock (tokens of one holder, rising intervals without overlap, effects within them, counted names); the rig's record gives it its effects, virtual time is to give it intervals.

Ruled out: intervals from the processes' logs (a line's time is when the rig read it; a stopped process says that it lost only when it wakes, though it looks at the time before it acts).

--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -170,6 +170,7 @@
     one.add_argument("files", nargs="*", type=Path, metavar="FILE", help="plans; with replay, records")
     one.add_argument("--seeds", type=seeds, default=[], help="with hunt: draw a plan from each of these")
     one.add_argument("--balancers", type=int, default=5, help="with hunt: how many, from 3 to 40")
+    one.add_argument("--duties", action="store_true", help="with hunt: a duty is held by lease all along")
     one.add_argument("--at-once", type=int, default=2, help="plays side by side")
     one.add_argument("--shrink", action="store_true", help="with hunt: make what goes wrong small")
     one.add_argument("--json", type=new_file, metavar="FILE")
@@ -360,7 +361,7 @@
             plans = [plan for path in told.files for plan in hunt.replayed(path)]
         else:
             plans = [fleet.read(path.read_text(encoding="utf-8"), str(path)) for path in told.files]
-            plans += [hunt.drawn(seed, told.balancers) for seed in told.seeds]
+            plans += [hunt.drawn(seed, told.balancers, told.duties) for seed in told.seeds]
     except (PlanError, OSError, UnicodeDecodeError) as error:
         raise argparse.ArgumentTypeError(str(error)) from None
     if not plans:
--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -23,7 +23,8 @@
     say A B STATE SECONDS            each of A says within so long that each of B is in this state
     view A VIEW SECONDS              each of A has this view within so long
     agree SECONDS                    all that run are sure, and hold just those that run to be alive
-    duty A NAME                      a holder of NAME at each of A, which acts each 20 ms as long as it holds
+    duty A NAME                      a holder of NAME at each of A, started again whenever it ends, which acts
+                                     each 20 ms as long as it holds
     acts NAME SECONDS                somebody acts, from now on, within so long
     passes NAME SECONDS              somebody acts under a higher token than now, within so long
     hand-on NAME SECONDS             who holds it is told to hand it on; the same is waited for
@@ -47,6 +48,7 @@
 from random import Random
 from typing import Any
 
+from switchhub.lab import history
 from switchhub.lab.faults.between import Between
 from switchhub.lab.faults.stage import (
     SIGNALS,
@@ -208,28 +210,9 @@
                     out.append((at, by, name))
         return sorted(out)
 
-    def spent(self, lease: str) -> list[tuple[float, int, str]]:
-        """Effects that a receiver refuses, for it has seen a higher token: when, token, by whom."""
-        out, top = [], 0
-        for at, name, token, by in self.effects:
-            if name == lease:
-                if token < top:
-                    out.append((at, token, by))
-                top = max(top, token)
-        return out
-
     def overlaps(self) -> list[str]:
         """Two that acted at a time, or under one token."""
-        out = []
-        owners: dict[tuple[str, int], str] = {}
-        for _, lease, token, by in self.effects:
-            if owners.setdefault((lease, token), by) != by:
-                out.append(f"{lease}: token {token} was {owners[lease, token]}'s and {by}'s")
-        for lease in sorted({each[1] for each in self.effects}):
-            late = self.spent(lease)
-            if late:
-                out.append(f"{lease}: {len(late)} effects under a spent token, the first {late[0]}")
-        return sorted(set(out))
+        return history.faults(history.Entry(at, "effect", *rest) for at, *rest in self.effects)
 
     def faults(self) -> list[str]:
         """What was wrong."""
@@ -513,7 +496,15 @@
         acts = (sys.executable, "-m", "switchhub.lab.faults.effects", f"{host}:{port}", name)
         await self._until(lambda: name in self._serving)
         self._duties.setdefault(lease, []).append(name)
-        await self._lease(name, "hold", lease, "--wait", "600", "--", *acts)
+        self._start(self._again_and_again(name, "hold", lease, "--wait", "5", "--", *acts))
+
+    async def _again_and_again(self, name: str, *arguments: str) -> None:
+        """A holder that has ended is started again, as an installation's supervisor does."""
+        while self._going:
+            holder = await self._lease(name, *arguments)
+            await holder.wait()
+            self._holders.remove(holder)
+            await asyncio.sleep(LOOK)
 
     async def _wait_for_effect(self, verb: str, lease: str, limit: float) -> None:
         effects, begun = self.record.effects, len(self.record.effects)
--- a/switchhub/lab/faults/hunt.py
+++ b/switchhub/lab/faults/hunt.py
@@ -20,8 +20,9 @@
 PAUSES = (100, 300, 700, 1200, 2500, 5000)  # milliseconds between two troubles
 
 
-def drawn(seed: int, balancers: int = 5) -> Plan:
-    """Troubles one after another and on top of each other, then all is mended and all have to agree."""
+def drawn(seed: int, balancers: int = 5, duties: bool = False) -> Plan:
+    """Troubles one after another and on top of each other, then all is mended and all have to agree; with
+    `duties` somebody holds one all along, whoever that is by then, and one is held in the end."""
     rng = Random(f"fleet/{seed}/{balancers}")
     names = [f"n{number}" for number in range(balancers)]
     dead: set[str] = set()
@@ -31,6 +32,11 @@
     for _ in range(rng.randint(3, 9)):
         running = [name for name in names if name not in dead | stopped]
         some = ",".join(sorted(rng.sample(names, rng.randint(1, balancers - 1))))
+        if duties and rng.random() < 0.2:
+            steps.append(
+                rng.choice(("cut @d *", "oneway @d *", "oneway * @d", "cut @d,n0 -@d,n0", "storm @d 1000"))
+            )
+            steps.append(str(rng.choice(PAUSES)))
         choice = rng.random()
         if choice < 0.30 and len(running) > 2:
             verb = rng.choice(("kill", "kill", "stop", "stop", "term", "choke"))
@@ -68,7 +74,10 @@
     steps += [f"{verb} {','.join(sorted(who))}" for verb, who in
               (("wake", stopped), ("free", choked), ("start", dead)) if who]  # fmt: skip
     steps.append(f"agree {SETTLE}")
-    return Plan(balancers, tuple(steps), name=f"seed {seed}")
+    if not duties:
+        return Plan(balancers, tuple(steps), name=f"seed {seed}")
+    steps = [f"duty {','.join(names[:5])} d", "acts d 8", *steps, "acts d 8"]
+    return Plan(balancers, tuple(steps), name=f"seed {seed}", voters=5 if balancers > 8 else 3)
 
 
 def smaller(steps: list[str], fails: Callable[[list[str]], bool], keep: int = 0) -> list[str]:
