The voters can be changed while leases are held: a file with both sets, majorities of each

Need: who named another electorate got no vote, so changing a voter meant stopping all balancers.

`before` in the operator file names the former voters; a holder then needs a majority of each set, and a voter serves whoever needs at least the sets of its own file. A voter started again with another file than the others' votes only once it has heard all of them, none without a set in common, and not while somebody is heard who holds by others. Files with tokens say which electorate they are of. Ways not taken, with why: overlap by one voter at a time, joint voters that serve both sets alone.

--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -69,7 +69,8 @@
     **dict.fromkeys(("heal", "agree", "acts", "passes", "hand-on"), 0),
     **dict.fromkeys(("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "upgrade"), 1),
     **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give", "duty", "twin", "told"), 1),
-    **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold", "say"), 2),
+    **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold"), 2),
+    **dict.fromkeys(("say", "refile"), 2),
 }
 FIGURES = {  # and how many figures or words at least
     **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none", "duty"), 1),
@@ -212,7 +213,9 @@
 
     def overlaps(self) -> list[str]:
         """Two that acted at a time, or under one token."""
-        return history.faults(history.Entry(at, "effect", *rest) for at, *rest in self.effects)
+        return history.faults(
+            history.Entry(at, "effect", lease, token, by) for at, lease, token, by in self.effects
+        )
 
     def faults(self) -> list[str]:
         """What was wrong."""
@@ -256,6 +259,7 @@
         self._taken: dict[str, socket.socket] = {}
         self._holders: list[asyncio.subprocess.Process] = []
         self._duties: dict[str, list[str]] = {}  # who was told to hold what
+        self._voters: dict[str, tuple[list[str], list[str]]] = {}  # whose file names others than the plan
         self._effects = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._effects.setblocking(False)
         rig = f"{self._net.rsplit('.', 1)[0]}.{int(self._net.rsplit('.', 1)[1]) + 1}"
@@ -318,10 +322,15 @@
         }
         lines = ["[peers]", *(f"{key} = {json.dumps(value)}" for key, value in told.items())]
         if self.plan.voters:
-            voters = [f"{self._stands[each]}:{self._peers_port}" for each in self.names[: self.plan.voters]]
+            first: tuple[list[str], list[str]] = self.names[: self.plan.voters], []
+            voters, before = (
+                [f"{self._stands[each]}:{self._peers_port}" for each in told]
+                for told in self._voters.get(name, first)
+            )
             lines += [
                 "[leases]",
                 f"voters = {json.dumps(voters)}",
+                f"before = {json.dumps(before)}",
                 f"folder = {json.dumps(str(self._folder))}",
             ]
         return "\n".join(lines) + "\n"
@@ -361,6 +370,11 @@
         elif verb == "upgrade":
             for name in named[0]:
                 await self._upgrade(name)
+        elif verb == "refile":
+            for name in named[0]:
+                self._voters[name] = named[1], _names(rest[0], self.plan.balancers) if rest else []
+                self._configure(name, name)
+                await self._upgrade(name)
         elif verb == "take":
             for name in named[0]:
                 self._taken[name] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/switchhub/lab/holders.py
+++ b/switchhub/lab/holders.py
@@ -25,6 +25,7 @@
 STANDS = 20  # steps that a candidate may stand still
 CUT = 1.9  # lengths of a lease that a cut lasts: a candidate not heard, or split off with one voter
 LAG = 14  # steps that what comes to a candidate takes, for two cuts' time
+REFILE = 20  # steps between two moments at which a voter may be started with another file
 FORGETS = (1, 6)  # steps that a voter is away before it is back and has forgotten
 AFTER = 34  # steps after the last trouble that are followed
 LEASE = "duty"
@@ -43,22 +44,31 @@
         voter: MakeVoter,
         asker: MakeAsker,
         terms: Terms = TERMS,
+        files: dict[str, Terms] | None = None,
     ) -> None:
+        """`files` says which file a part has that has not `terms`; a voter that has one begins by it."""
         self.steps = self.calm = 0
         self.terms, self.cut = terms, int(CUT * terms.length / STEP)
+        self.files = files or {}
         self.ends: dict[tuple[str, str], int] = {}  # troubles of a candidate's links, until which step
         self.budget, self.rates = dict(budget), rates
         self.make = voter
         self.lives = 10
         self.wrong: str | None = None
         self.flights: list[Flight] = []
-        self.voters = {name: voter(Who(name, 1, name), terms, self.clock(name), 0) for name in VOTERS}
+        names = sorted({*VOTERS, *(self.files.keys() - {"a", "b"})})
+        self.voters = {
+            name: voter(
+                Who(name, 1, name), self.file(name), self.clock(name), None if name in self.files else 0
+            )
+            for name in names
+        }
         self.askers = {
-            name: asker(Who(name, 1, name), terms, number, self.clock(name))
+            name: asker(Who(name, 1, name), self.file(name), number, self.clock(name))
             for number, name in enumerate(("a", "b"))
         }
-        for each in self.voters.values():
-            each.votes = True
+        for name, each in self.voters.items():
+            each.votes = name not in self.files
         for name, each_ in self.askers.items():
             each_.want(LEASE, self.clock(name))
         self.askers["b"].wants[LEASE].at += 2 * STEP
@@ -70,6 +80,16 @@
         """Its own."""
         return self.steps * STEP * self.rates.get(name, 1.0)
 
+    def file(self, name: str) -> Terms:
+        """What its operator file says."""
+        return self.files.get(name, self.terms)
+
+    def refile(self, name: str, file: Terms) -> None:
+        """It is started again with another file."""
+        self.budget["refile"] -= 1
+        self.files = {**self.files, name: file}
+        self.away[name] = self.steps + 1
+
     def freeze(self) -> bytes:
         """To tell states apart, and to copy them."""
         return pickle.dumps(self)
@@ -90,7 +110,9 @@
             if self.steps >= until:  # it has forgotten all
                 del self.away[name]
                 self.lives += 1
-                self.voters[name] = self.make(Who(name, self.lives, name), self.terms, self.clock(name), None)
+                self.voters[name] = self.make(
+                    Who(name, self.lives, name), self.file(name), self.clock(name), None
+                )
         before, self.flights = self.flights, []
         due: list[tuple[str, Send]] = []
         for at, (left, sender, send) in enumerate(before):
@@ -175,7 +197,8 @@
 class Duties:
     """Every order of events within a budget: messages `lose`, `double`, `late`, an `echo` of all one says
     in a step; a voter `forget`s; a candidate `stand`s still, is not heard (`mute`), is cut off with one voter
-    (`split`), hears late (`lag`), `release`s, does so and wants it `again` at once, or hands on (`pass`)."""
+    (`split`), hears late (`lag`), `release`s, does so and wants it `again` at once, or hands on (`pass`); a
+    voter is started again with another of the `choices` of files (`refile`), each `REFILE` steps."""
 
     def __init__(
         self,
@@ -185,16 +208,19 @@
         voter: MakeVoter = Voter,
         asker: MakeAsker = Asker,
         terms: Terms = TERMS,
+        files: dict[str, Terms] | None = None,
+        choices: tuple[Terms, ...] = (),
     ) -> None:
         """All that goes wrong begins in these steps. Without rates holders are as slow and voters as fast as
         `DRIFT` allows."""
         worst = {**dict.fromkeys(VOTERS, 1 + DRIFT), "a": 1 - DRIFT, "b": 1 - DRIFT}
         self._budget, self._window, self._rates = budget, window, worst if rates is None else rates
         self._voter, self._asker, self._terms = voter, asker, terms
+        self._files, self._choices = files, choices
 
     def first(self) -> Iterator[tuple[str, Duty]]:
         """Nobody holds, both want it."""
-        yield "", Duty(self._budget, self._rates, self._voter, self._asker, self._terms)
+        yield "", Duty(self._budget, self._rates, self._voter, self._asker, self._terms, self._files)
 
     def after(self, state: Duty) -> Iterator[tuple[str, Duty]]:
         """One step, with at most one thing going wrong in it."""
@@ -227,6 +253,13 @@
                     other.away[name] = state.steps + away
                     other.step({})
                     yield f"{state.steps}: {name} forgets, back after {away}", other
+                files = self._choices if state.budget.get("refile") and state.steps % REFILE == 0 else ()
+                for at, file in enumerate(files):
+                    if name not in state.away and file != state.file(name):
+                        other = copy()
+                        other.refile(name, file)
+                        other.step({})
+                        yield f"{state.steps}: {name} has file {at}", other
             for name in state.askers if state.budget.get("echo") else ():
                 other = copy()
                 other.budget["echo"] -= 1
--- a/switchhub/leases/asker.py
+++ b/switchhub/leases/asker.py
@@ -147,9 +147,8 @@
     def _confirm(self, votes: Votes, voter: str, sent: float) -> None:
         """Danger: counted from when the answer came, a lease would outlive the word it stands on."""
         votes.yes[voter] = max(sent, votes.yes.get(voter, -math.inf))
-        if len(votes.yes) >= self.terms.majority:  # of these the majority's last ends first
-            last = sorted(votes.yes.values(), reverse=True)[self.terms.majority - 1]
-            votes.until = last + self.terms.length - self.terms.margin
+        last = self.terms.confirmed(votes.yes)  # of the majority's words the last one ends first
+        votes.until = last + self.terms.length - self.terms.margin
 
     # Time.
 
@@ -207,7 +206,7 @@
         want.asking, want.told = 0, {}
         want.bid = Votes(token, self._seq, now, now + WITHIN, mark(want.lease, token))
         self._know(want.lease, token)
-        for voter in self.terms.voters:
+        for voter in self.terms.every:
             self._say_bid(voter, want.lease, want.bid)
 
     def _say_bid(self, voter: str, lease: str, votes: Votes) -> None:
@@ -223,7 +222,7 @@
             self._later(want, now, AGAIN)
 
     def _free(self, lease: str, token: int, heir: str, now: float) -> None:
-        gone = Gone(lease, token, heir, set(self.terms.voters), now)
+        gone = Gone(lease, token, heir, set(self.terms.every), now)
         self._gone.append(gone)
         self._say_gone(gone, now)
 
@@ -259,7 +258,7 @@
         voter = message.source.address
         if isinstance(message, Pass):
             self._hear_pass(message, now)
-        elif voter not in self.terms.voters:
+        elif voter not in self.terms.every:
             return
         elif isinstance(message, Told):
             self._hear_told(message, voter, now)
@@ -282,16 +281,17 @@
             return
         want.told[voter] = message
         told = want.told.values()
-        if sum(each.votes and not each.holder for each in told) >= self.terms.majority:
+        if self.terms.won({name for name, each in want.told.items() if each.votes and not each.holder}):
             self._bid(want, now, max(each.top for each in told) + 1)
             return
-        left = sorted(each.left_ms for each in told if each.votes)
-        held = sum(each > 0 for each in left)
-        if held > len(self.terms.voters) - self.terms.majority and len(left) >= self.terms.majority:
+        left = {name: each.left_ms / 1000 for name, each in want.told.items() if each.votes}
+        rest = {name for name in self.terms.every if not left.get(name)}
+        if not self.terms.won(rest) and self.terms.won(left):
             # Held, whatever the others say: ask when it may be over, and sooner, for it may be let go.
             # Danger: concluded from fewer, one voter that keeps an old word and is heard first puts all off.
             want.tries = 0
-            self._later(want, now, min(left[self.terms.majority - 1] / 1000, self.terms.length / 4))
+            over = -self.terms.confirmed({name: -each for name, each in left.items()})
+            self._later(want, now, min(over, self.terms.length / 4))
 
     def _hear_answer(self, message: Answer, voter: str, now: float) -> None:
         want = self.wants.get(message.lease)
@@ -302,7 +302,7 @@
         if bid is not None and message.seq == bid.seq:
             if not message.yes:
                 bid.no.add(voter)
-                if len(bid.no) >= self.terms.majority:
+                if not self.terms.won(set(self.terms.every) - bid.no):
                     self._give_up(want, now)
                 return
             self._confirm(bid, voter, bid.sent)
@@ -342,7 +342,7 @@
             self._bid(want, now, self.known[message.lease] + 1)
 
     def _all(self, message: Message) -> None:
-        for voter in self.terms.voters:
+        for voter in self.terms.every:
             self._say(voter, message)
 
     def _say(self, voter: str, message: Message) -> None:
--- a/switchhub/leases/messages.py
+++ b/switchhub/leases/messages.py
@@ -28,6 +28,7 @@
 Token = Annotated[int, Meta(ge=0, lt=2**62)]
 Length = Annotated[int, Meta(ge=1, le=600_000)]  # milliseconds
 Word = Annotated[str, Meta(max_length=64)]
+Electorate = tuple[Count, Count]  # `rules.Terms.electorate`
 
 
 class Who(Struct, frozen=True, array_like=True):
@@ -67,7 +68,7 @@
     lease: Name
     token: Token
     length_ms: Length
-    electorate: Count
+    electorate: Electorate
 
 
 class Answer(Struct, frozen=True, array_like=True, tag=19):
@@ -88,7 +89,7 @@
     seq: Count
     source: Who
     length_ms: Length
-    electorate: Count
+    electorate: Electorate
 
 
 class Renewed(Struct, frozen=True, array_like=True, tag=21):
@@ -140,6 +141,7 @@
     source: Who
     top: Token
     remembers: bool
+    electorate: Electorate
 
 
 class Send(NamedTuple):
--- a/switchhub/leases/rules.py
+++ b/switchhub/leases/rules.py
@@ -8,11 +8,17 @@
 `length x (1 + DRIFT) / (1 - DRIFT)` on its own clock: at least `length / (1 - DRIFT)` of true time. So each
 voter that a holder counts on keeps its word longer than the holder acts, whatever was late, lost, doubled or
 overtaken on the way.
+
+Voters are changed by way of a file that names both sets (`before`): with it a holder needs a majority of
+each (joint consensus: Ongaro, Ousterhout, *In Search of an Understandable Consensus Algorithm*, 2014,
+section 6). A voter gives its word to whoever needs a majority of at least the sets in its own file.
 """
 
 from __future__ import annotations
 
 import hashlib
+import math
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 DRIFT = 0.05  # part by which any clock may be fast or slow
@@ -29,17 +35,48 @@
     longest: float = 3.0  # seconds that any balancer's lease may have: what a voter waits that has forgotten
     margin: float = 0.15  # seconds before its end at which a holder stops acting
     reserve: float = 1.0  # seconds for which a name that is handed on is for its heir alone
+    before: tuple[str, ...] = ()  # the voters of before, while they are changed
+
+    @property
+    def sets(self) -> tuple[tuple[str, ...], ...]:
+        """Of each of these a majority is needed."""
+        return (self.voters, self.before) if self.before else (self.voters,)
 
     @property
-    def majority(self) -> int:
-        """Voters that make one."""
-        return len(self.voters) // 2 + 1
+    def every(self) -> tuple[str, ...]:
+        """All that have a vote."""
+        return tuple(dict.fromkeys((*self.voters, *self.before)))
 
     @property
-    def electorate(self) -> int:
-        """Who votes, as one number: votes of different electorates are never added up."""
-        text = "\n".join(sorted(self.voters)).encode()
-        return int.from_bytes(hashlib.blake2b(text, digest_size=4).digest())
+    def electorate(self) -> tuple[int, int]:
+        """Who votes, as a number for each set, 0 where there is one: votes of different ones never add up."""
+        return number(self.voters), number(self.before)
+
+    def won(self, names: Collection[str]) -> bool:
+        """Whether these are a majority of each set."""
+        return all(sum(name in names for name in each) > len(each) // 2 for each in self.sets)
+
+    def confirmed(self, sent: Mapping[str, float]) -> float:
+        """The latest time to which a majority of each set has confirmed what was sent."""
+        ends = []
+        for each in self.sets:
+            times = sorted((sent[name] for name in each if name in sent), reverse=True)
+            ends.append(times[len(each) // 2] if len(times) > len(each) // 2 else -math.inf)
+        return min(ends)
+
+    def serves(self, electorate: tuple[int, int]) -> bool:
+        """Whether whoever has this one needs a majority of at least all sets that stand here."""
+        return {each for each in self.electorate if each} <= set(electorate)
+
+    def kin(self, electorate: tuple[int, int]) -> bool:
+        """Whether it has a set in common with this one."""
+        return bool({each for each in self.electorate if each} & set(electorate))
+
+
+def number(voters: tuple[str, ...]) -> int:
+    """A set as a number; 0 for none."""
+    text = "\n".join(sorted(voters)).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=4).digest()) | 1 if voters else 0
 
 
 def kept(length: float) -> float:
--- a/switchhub/leases/service.py
+++ b/switchhub/leases/service.py
@@ -25,11 +25,20 @@
     """See the file's head."""
 
     def __init__(
-        self, me: Who, terms: Terms, seed: int, now: float, floor: int | None = None, files: bool = False
+        self,
+        me: Who,
+        terms: Terms,
+        seed: int,
+        now: float,
+        floor: int | None = None,
+        files: bool = False,
+        same: bool = True,
     ) -> None:
         self.me, self.terms = me, terms
         self.asker = Asker(me, terms, seed, now)
-        self.voter = Voter(me, terms, now, floor, files) if me.address in terms.voters else None
+        self.voter = None
+        if me.address in terms.every:
+            self.voter = Voter(me, terms, now, floor, files, same)
         self.out: list[Send] = []
         self.said: list[str] = []  # for the log
         self._keeps: dict[str, float] = {}  # until when names are wanted from outside
--- a/switchhub/leases/tokens.py
+++ b/switchhub/leases/tokens.py
@@ -14,13 +14,16 @@
 class Tokens:
     """The file of one balancer."""
 
-    def __init__(self, folder: Path, name: str) -> None:
+    def __init__(self, folder: Path, name: str, electorate: tuple[int, int]) -> None:
+        self._electorate = electorate
         self._path = folder / f"tokens-{name.encode().hex()}"
 
-    def read(self) -> int | None:
-        """No token above this was ever voted for; None if nothing is known."""
+    def read(self) -> tuple[int, bool] | None:
+        """No token above this was ever voted for, and whether the electorate was this one; None if nothing is
+        known."""
         try:
-            return int(self._path.read_text(encoding="ascii"))
+            top, *electorate = map(int, self._path.read_text(encoding="ascii").split())
+            return top, tuple(electorate) == self._electorate
         except FileNotFoundError:
             return None
         except (OSError, ValueError) as error:
@@ -32,7 +35,7 @@
         new = self._path.with_suffix(".new")
         try:
             with open(new, "w", encoding="ascii") as file:
-                file.write(str(top))
+                file.write(f"{top} {self._electorate[0]} {self._electorate[1]}")
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(new, self._path)
--- a/switchhub/leases/voter.py
+++ b/switchhub/leases/voter.py
@@ -53,10 +53,17 @@
     """See the file's head."""
 
     def __init__(
-        self, me: Who, terms: Terms, now: float, floor: int | None = None, files: bool = False
+        self,
+        me: Who,
+        terms: Terms,
+        now: float,
+        floor: int | None = None,
+        files: bool = False,
+        same: bool = True,
     ) -> None:
-        """`floor` is no less than any token ever voted for, where a file says so; else that is learnt. With
-        `files` no token is voted for above `bound`, which is written down before."""
+        """`floor` is no less than any token ever voted for, where a file says so; else that is learnt, and so
+        it is where the electorate was not the `same`. With `files` no token is voted for above `bound`,
+        which is written down before."""
         self.me, self.terms = me, terms
         self.out: list[Send] = []
         self.votes = False
@@ -65,8 +72,9 @@
         self.grants: dict[str, Grant] = {}
         self.news: list[str] = []  # for the log
         self.bound: float = -1 if files else math.inf
-        self._knows = floor is not None
+        self._knows = floor is not None and same
         self._learnt: dict[str, Learnt] = {}  # by voter
+        self._why = ""  # it does not vote, as it was said last
         self._learn_at = now + kept(terms.longest)  # until then it is silent
         self._seq = 0
         self._rounds: dict[tuple[str, int], int] = {}  # the last round of each holder
@@ -92,7 +100,7 @@
         """Do what is due: one that has forgotten asks."""
         if self.votes or now < self._learn_at:
             return
-        others = [voter for voter in self.terms.voters if voter != self.me.address]
+        others = [voter for voter in self.terms.every if voter != self.me.address]
         if self._knows or not others:
             self._begin("tokens from its file" if self._knows else "the only voter, nobody remembers a token")
             return
@@ -122,26 +130,41 @@
             self._say(source, Dropped(message.seq, self.me))
         elif isinstance(message, Learn):
             # Danger: one that waits still tells, for it may have learnt what nobody else remembers.
-            self._say(source, Learnt(message.seq, self.me, self.top, self.votes))
+            self._say(source, Learnt(message.seq, self.me, self.top, self.votes, self.terms.electorate))
         elif isinstance(message, Learnt):
             self._hear_learnt(message)
 
     def _hear_learnt(self, message: Learnt) -> None:
-        if self.votes or message.seq != self._seq or message.source.address not in self.terms.voters:
+        if self.votes or message.seq != self._seq or message.source.address not in self.terms.every:
             return
         self._learnt[message.source.address] = message
-        told = list(self._learnt.values())
-        remember = [each.top for each in told if each.remembers]
-        others = len(self.terms.voters) - 1
-        # A majority that gave a token has this voter and `majority - 1` of the others: of any `majority` of
-        # the others that remember one was among them.
-        if len(remember) >= self.terms.majority:
-            self.floor = max([self.floor, *remember])
+        told, others = self._learnt, [each for each in self.terms.every if each != self.me.address]
+        strange = sorted(name for name, each in told.items() if not self.terms.kin(each.electorate))
+        if strange:
+            # Danger: voters of two sets, each a majority of its own, would give one name to two.
+            self._waits(f"{strange[0]} votes with others: name them as `before`, here and everywhere")
+            return
+        all_told = len(told) == len(others)
+        if not all_told and any(each.electorate != self.terms.electorate for each in told.values()):
+            # Danger: of those not heard a majority may still vote as before the change.
+            if self._seq > 1:  # the others' answers are on their way
+                self._waits("voters are being changed, and not all of them have been heard")
+            return
+        # A majority that gave a token has this voter and one fewer of the others: of any majority of the
+        # others that remember one was among them.
+        remember = {name: each for name, each in told.items() if each.remembers}
+        if self.terms.won(remember):
+            self.floor = max([self.floor, *(each.top for each in remember.values())])
             self._begin("learnt from a majority of the others")
-        elif len(told) == others:
-            highest = max([self.floor, *(each.top for each in told)])
+        elif all_told:
+            highest = max([self.floor, *(each.top for each in told.values())])
             self.floor = highest + JUMP if highest else 0
-            self._begin(f"{others - len(remember)} other voters remember none either")
+            self._begin(f"{len(others) - len(remember)} other voters remember none either")
+
+    def _waits(self, why: str) -> None:
+        if why != self._why:
+            self._why = why
+            self.news.append(f"does not vote: {why}")
 
     def _ask(self, message: Ask, now: float) -> None:
         if message.known > self.top:  # a hint: it may only raise
@@ -167,7 +190,7 @@
         """Why not, or nothing."""
         if not self.votes:
             return "does not vote yet"
-        if message.electorate != self.terms.electorate:
+        if not self.terms.serves(message.electorate):
             return "another electorate"
         if message.length_ms > self.terms.longest * 1000:
             return "longer than a lease may be"
@@ -200,7 +223,11 @@
 
     def _renew(self, message: Renew, now: float) -> None:
         who = message.source
-        if message.electorate != self.terms.electorate or message.length_ms > self.terms.longest * 1000:
+        if not self.votes and not self.terms.kin(message.electorate):
+            # Danger: somebody holds by a majority of others that this voter has just been taken from.
+            self._learn_at = max(self._learn_at, now + kept(self.terms.longest))
+            self._waits(f"{who.name} holds by other voters: name them as `before`, here and everywhere")
+        if not self.terms.serves(message.electorate) or message.length_ms > self.terms.longest * 1000:
             return
         key = who.name, who.life
         if message.seq <= self._rounds.get(key, -1):
--- a/switchhub/operator_file.py
+++ b/switchhub/operator_file.py
@@ -54,6 +54,7 @@
     """`[leases]`: duties that only one balancer may hold at a time."""
 
     voters: list[str]  # addresses of 1, 3, 5 or 7 balancers, as they advertise them; the same at all
+    before: list[str] = []  # those of before, in each file while they are changed
     length_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000
     longest_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000  # that any balancer's file may have
     margin_ms: Annotated[int, Meta(ge=10, le=10_000)] = 150  # before its end at which a holder stops
@@ -167,13 +168,21 @@
 
 def _check_leases(told: Leases) -> list[str]:
     faults: list[str] = []
-    for number, voter in enumerate(told.voters):
-        _address(f"leases.voters[{number}]", voter, faults)
-    if len(told.voters) not in (1, 3, 5, 7):
-        faults.append(f"leases.voters: expected 1, 3, 5 or 7 of them, there are {len(told.voters)}")
-    for voter, count in Counter(told.voters).items():
-        if count > 1:
-            faults.append(f"leases.voters: expected each once, {voter!r} stands there {count} times")
+    for key, voters in (("voters", told.voters), ("before", told.before)):
+        for number, voter in enumerate(voters):
+            _address(f"leases.{key}[{number}]", voter, faults)
+        if len(voters) not in (1, 3, 5, 7) and (voters or key == "voters"):
+            faults.append(f"leases.{key}: expected 1, 3, 5 or 7 of them, there are {len(voters)}")
+        for voter, count in Counter(voters).items():
+            if count > 1:
+                faults.append(f"leases.{key}: expected each once, {voter!r} stands there {count} times")
+    gone = set(told.before) - set(told.voters)
+    if told.before and set(told.before) == set(told.voters):
+        faults.append("leases.before: expected other voters than leases.voters, or none")
+    elif 2 * len(gone) > len(told.before):
+        faults.append(
+            f"leases.before: expected most of them among voters, {len(gone)} of {len(told.before)} are not"
+        )
     if told.folder and not Path(told.folder).is_dir():
         faults.append(f"leases.folder = {told.folder!r}: expected a folder that is there")
     if told.longest_ms < told.length_ms:
--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -73,15 +73,17 @@
             whole=float(told.whole_s),
             remember=float(told.remember_s),
         )
-        self._terms = None
-        self._tokens = None if leases is None or not leases.folder else Tokens(Path(leases.folder), name)
+        self._terms, self._tokens = None, None
         if leases is not None:
             self._terms = Terms(
                 tuple(leases.voters),
                 leases.length_ms / 1000,
                 leases.longest_ms / 1000,
                 leases.margin_ms / 1000,
+                before=tuple(leases.before),
             )
+            if leases.folder:
+                self._tokens = Tokens(Path(leases.folder), name, self._terms.electorate)
         self._leases: Leases | None = None
         self.counts: Counter[str] = Counter()
         self._lock = threading.Lock()
@@ -256,10 +258,10 @@
             seeds = tuple(self._told.seeds)
             self._core = Membership(self._name, self._told.address, life, seeds, self._options, seed, now)
             if self._terms is not None:
-                me, floor = Who(self._name, life, self._told.address), None
-                if self._tokens is not None:
-                    floor = self._tokens.read()
-                self._leases = Leases(me, self._terms, seed, now, floor, self._tokens is not None)
+                me, files = Who(self._name, life, self._told.address), self._tokens is not None
+                known = None if self._tokens is None else self._tokens.read()
+                floor, same = known or (None, True)
+                self._leases = Leases(me, self._terms, seed, now, floor, files, same)
         self._udp = udp
         logger.info("peers: {} of {} at {}", self._name, self._told.cluster, self._told.listen)
         self._loop.add_reader(udp, self._readable)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -92,6 +92,18 @@
         "acts d 8", "loss * * 0.2", "double * * 0.3", "delay * * 5 60", "6000", "heal", "acts d 4.5",
     ),
 }  # fmt: skip
+BOTH, AFTER = "n0,n1,n3 n0,n1,n2", "n0,n1,n3"
+CHANGE = [
+    *(
+        part
+        for name in ("n4", "n3", "n0", "n1", "n2")
+        for part in (f"refile {name} {BOTH}", "acts d 6", "3500")
+    ),
+    *(part for name in ("n3", "n0", "n1", "n4") for part in (f"refile {name} {AFTER}", "acts d 6", "3500")),
+]
+DUTIES["a voter is replaced by another, one file after another"] = (
+    "acts d 8", *CHANGE, "term n2", "acts d 5", "kill n1", "acts d 5", "agree 6",
+)  # fmt: skip
 AT_ONCE = 3
 SEEDLESS = Plan(5, ("start n2,n3,n4", "2500", "view n2,n3,n4 alone 3", "start n0", "agree 5"), start=False)
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from switchhub.lab.explorer import explore
 from switchhub.lab.holders import TERMS, Duties
@@ -59,7 +61,13 @@
     """Votes at once after it has forgotten."""
 
     def __init__(
-        self, me: Who, terms: Terms, now: float, floor: int | None = None, files: bool = False
+        self,
+        me: Who,
+        terms: Terms,
+        now: float,
+        floor: int | None = None,
+        files: bool = False,
+        same: bool = True,
     ) -> None:
         super().__init__(me, terms, now, 0)
         self._learn_at = now
@@ -155,6 +163,133 @@
     assert found.fault is not None and "both hold" in found.fault
 
 
+OLD = TERMS
+JOINT = replace(TERMS, voters=("v0", "v1", "v3"), before=OLD.voters)
+NEW = replace(JOINT, before=())
+
+
+class TakesAnyFile(Voter):
+    """Votes by its file, whatever the others have."""
+
+    def _hear_learnt(self, message: Learnt) -> None:
+        super()._hear_learnt(replace_electorate(message, self.terms))
+
+
+def replace_electorate(message: Learnt, terms: Terms) -> Learnt:
+    return Learnt(message.seq, message.source, message.top, message.remembers, terms.electorate)
+
+
+class JointServesAll(Voter):
+    """While the voters are changed it gives its word to those of before and of after alike."""
+
+    def _bid(self, message: Bid, now: float) -> str:
+        electorate = self.terms.electorate if self.terms.kin(message.electorate) else (1, 0)
+        return super()._bid(structs.replace(message, electorate=electorate), now)
+
+    def _renew(self, message: Renew, now: float) -> None:
+        electorate = self.terms.electorate if self.terms.kin(message.electorate) else (1, 0)
+        super()._renew(structs.replace(message, electorate=electorate), now)
+
+
+CHANGES = {"a": OLD, "b": NEW, "v3": NEW}  # one candidate that has not heard of the change, one after it
+
+
+@pytest.mark.parametrize(
+    ("files", "budget"),
+    [
+        (CHANGES, {"refile": 2}),
+        ({**CHANGES, "b": JOINT}, {"refile": 2}),
+        ({**CHANGES, "v3": JOINT}, {"refile": 3}),
+    ],
+)
+def test_voters_that_are_changed_never_give_one_name_to_two(
+    files: dict[str, Terms], budget: dict[str, int]
+) -> None:
+    """Any voter is started again with any of the three files, in any order."""
+    system = Duties(budget, (20, 61), files=files, choices=(OLD, JOINT, NEW))
+    found = explore(system, MOST, 400)
+    assert found.fault is None, found
+    assert found.whole and found.states > 300
+
+
+@pytest.mark.parametrize(
+    ("voter", "budget", "until"),
+    [(TakesAnyFile, {"refile": 1, "stand": 1}, 26), (JointServesAll, {"refile": 2}, 61)],
+)
+def test_each_guard_of_a_change_is_needed(voter: type[Voter], budget: dict[str, int], until: int) -> None:
+    """The first is needed where nobody holds while the voter waits: else it hears the holder's renewals."""
+    for make in (voter, Voter):
+        system = Duties(budget, (20, until), files=CHANGES, choices=(OLD, JOINT, NEW), voter=make)
+        found = explore(system, MOST, 400)
+        if make is Voter:
+            assert found.fault is None and found.whole, found
+        else:
+            assert found.fault is not None and "hold" in found.fault, found
+
+
+def test_voters_are_changed_without_a_gap_longer_than_a_lease() -> None:
+    """As staff do it: with both sets first who does not vote; without `before` first who votes."""
+    table = Table(askers=2)
+    old = table.terms
+    joint = replace(old, voters=("v0", "v1", "v3"), before=old.voters)
+    gap = longest = 0.0
+
+    def run(seconds: float) -> None:
+        nonlocal gap, longest
+        for _ in range(int(seconds / 0.05)):
+            table.run(0.05)
+            holders = [each for each in table.askers.values() if each.held("duty", table.now)]
+            assert len(holders) < 2
+            gap = 0.0 if holders else gap + 0.05
+            longest = max(longest, gap)
+
+    lives = iter(range(2, 50))
+
+    def start(name: str, file: Terms) -> None:
+        who, now = Who(name, next(lives), name), table.now
+        if name.startswith("v"):
+            table.parts[name] = Voter(who, file, now, None)
+        else:
+            table.parts[name] = table.askers[name] = Asker(who, file, 7, now)
+            table.askers[name].want("duty", now)
+
+    for name in table.askers:
+        start(name, old)
+    run(3.0)
+    longest = 0.0
+    start("v3", joint)
+    run(5.0)
+    for name in ("a0", "a1", "v0", "v1", "v2"):
+        start(name, joint)
+        run(5.0)
+    for name in ("v3", "v0", "v1", "a0", "a1"):
+        start(name, replace(joint, before=()))
+        run(5.0)
+    del table.parts["v2"]
+    run(5.0)
+    voters = [each for each in table.parts.values() if isinstance(each, Voter)]
+    assert all(each.votes and each.terms.before == () for each in voters) and len(voters) == 3
+    assert longest <= 4.2
+    top = max(each.top for each in voters)
+    assert top >= max(each.held("duty", table.now) or 0 for each in table.askers.values()) > 1
+
+
+def test_one_that_is_made_the_only_voter_does_not_vote_while_somebody_holds_by_the_others() -> None:
+    table = Table(askers=1)
+    table.askers["a0"].want("duty", 0.0)
+    table.run(1.0)
+    alone = Voter(Who("v0", 2, "v0"), replace(table.terms, voters=("v0",)), table.now, None)
+    table.parts["v0"] = alone
+    table.run(20.0)
+    assert table.askers["a0"].held("duty", table.now) and not alone.votes
+    assert alone.news == [
+        "does not vote: a0 holds by other voters: name them as `before`, here and everywhere"
+    ]
+    table.askers["a0"].release("duty", table.now)
+    table.run(4.0)
+    assert alone.votes
+
+
 def _who(name: str) -> Who:
     return Who(name, 1, name)
 
@@ -185,11 +320,13 @@
     assert not _said(voter)
     voter.turn(kept(TERMS.longest))
     (seq,) = {each.seq for each in _said(voter)}
-    voter.receive(1.2, Learnt(seq - 1, _who("v1"), 90, True))  # an answer to nothing that was asked
-    voter.receive(1.2, Learnt(seq, _who("x"), 90, True))  # no voter
-    voter.receive(1.2, Learnt(seq, _who("v1"), 56, True))
+    voter.receive(
+        1.2, Learnt(seq - 1, _who("v1"), 90, True, TERMS.electorate)
+    )  # an answer to nothing that was asked
+    voter.receive(1.2, Learnt(seq, _who("x"), 90, True, TERMS.electorate))  # no voter
+    voter.receive(1.2, Learnt(seq, _who("v1"), 56, True, TERMS.electorate))
     assert not voter.votes
-    voter.receive(1.2, Learnt(seq, _who("v2"), 57, True))
+    voter.receive(1.2, Learnt(seq, _who("v2"), 57, True, TERMS.electorate))
     assert voter.votes and voter.floor == 57
     voter.receive(1.3, _bid("a", 57))
     voter.receive(1.3, _bid("a", 58))
@@ -200,9 +337,9 @@
     voter = _voter(None)
     voter.turn(2.0)
     (seq,) = {each.seq for each in _said(voter)}
-    voter.receive(2.0, Learnt(seq, _who("v1"), 0, False))
+    voter.receive(2.0, Learnt(seq, _who("v1"), 0, False, TERMS.electorate))
     assert not voter.votes  # the third may know what nobody else does
-    voter.receive(2.0, Learnt(seq, _who("v2"), 50, True))
+    voter.receive(2.0, Learnt(seq, _who("v2"), 50, True, TERMS.electorate))
     assert voter.votes and voter.floor == 50 + JUMP
 
 
@@ -211,19 +348,20 @@
     voter.turn(2.0)
     (seq,) = {each.seq for each in _said(voter)}
     for name in ("v1", "v2"):
-        voter.receive(2.0, Learnt(seq, _who(name), 0, False))
+        voter.receive(2.0, Learnt(seq, _who(name), 0, False, TERMS.electorate))
     assert voter.votes and voter.floor == 0
 
 
 def test_with_a_file_no_token_is_voted_for_before_it_is_written_down(tmp_path: Path) -> None:
     """Nor is anything written by a voter that does not know the others' tokens yet."""
-    tokens = Tokens(tmp_path, "v0")
-    voter = Voter(_who("v0"), TERMS, 0.0, tokens.read(), files=True)
+    tokens = Tokens(tmp_path, "v0", TERMS.electorate)
+    assert tokens.read() is None
+    voter = Voter(_who("v0"), TERMS, 0.0, files=True)
     assert voter.reserve() is None
     voter.turn(2.0)
     (seq,) = {each.seq for each in _said(voter)}
-    voter.receive(2.0, Learnt(seq, _who("v1"), 70, True))
-    voter.receive(2.0, Learnt(seq, _who("v2"), 9, True))
+    voter.receive(2.0, Learnt(seq, _who("v1"), 70, True, TERMS.electorate))
+    voter.receive(2.0, Learnt(seq, _who("v2"), 9, True, TERMS.electorate))
     voter.receive(2.1, _bid("a", 71))
     assert _said(voter) == [Answer(1, voter.me, "duty", 71, False, 70, "token not written down yet")]
     top = voter.reserve()
@@ -231,13 +369,14 @@
     voter.bound = tokens.write(top, voter.bound)
     voter.receive(2.2, _bid("a", 71))
     assert _said(voter) == [Answer(1, voter.me, "duty", 71, True, 71, "")]
-    assert voter.reserve() is None and Tokens(tmp_path, "v0").read() == top
+    assert voter.reserve() is None and tokens.read() == (top, True)
+    assert Tokens(tmp_path, "v0", (1, 0)).read() == (top, False)
     again = Voter(_who("v0"), TERMS, 3.0, top, files=True)
     again.turn(4.2)
     assert again.votes and again.floor == top
-    assert Tokens(tmp_path / "gone", "v0").write(9, 5) == 5
+    assert Tokens(tmp_path / "gone", "v0", (1, 0)).write(9, 5) == 5
     (tmp_path / f"tokens-{b'v1'.hex()}").write_text("x", encoding="ascii")
-    assert Tokens(tmp_path, "v1").read() is None
+    assert Tokens(tmp_path, "v1", (1, 0)).read() is None
 
 
 def test_words_of_long_ago_change_nothing() -> None:
@@ -268,7 +407,7 @@
 
 def test_another_electorate_and_a_longer_lease_get_no_vote() -> None:
     voter = _voter()
-    voter.receive(0.0, Bid(1, _who("a"), "duty", 1, 1000, TERMS.electorate + 1))
+    voter.receive(0.0, Bid(1, _who("a"), "duty", 1, 1000, (1, 0)))
     voter.receive(0.0, Bid(1, _who("a"), "duty", 1, 1001, TERMS.electorate))
     assert [each.why for each in _said(voter)] == [  # type: ignore[union-attr]
         "another electorate",
@@ -379,7 +518,7 @@
     st.builds(messages.Dropped, _seqs, _whos),
     st.builds(messages.Pass, _seqs, _whos, _names, _tokens),
     st.builds(messages.Learn, _seqs, _whos),
-    st.builds(Learnt, _seqs, _whos, _tokens, st.booleans()),
+    st.builds(Learnt, _seqs, _whos, _tokens, st.booleans(), st.just(TERMS.electorate)),
 )
 
 
