Counted leases, and a hold for parts of the balancer

Need: restart slots want at most K holders of one name, each with its own token; duties inside the program want an object that says whether they hold, under which token, and when that has ended.

Design: a counted name (`[leases.counted]` of the operator file) is K leases `NAME#0` and on; a balancer wants one slot at a time and the next one when somebody else has that; voters vote for no slot that their own file does not have, so one file that allows more gets no further. Counting holders at the voters was explored on paper before and stays refused (three holders of two with a majority each). `Node.hold(name)` gives `held()`, `token`, `won()`, `lost()`, `release(heir)`; who acts asks the time, being told comes later.

Measured: five that want three slots, in steps of 10 ms: never a fourth, what is let go is taken up, a slot handed on is its heir's at once. Live, six balancers, two slots: holders killed, stopped and cut off, two others act within 6 s each time, never three. Two nodes on loopback: handed on, then lost with the voter.

--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -27,6 +27,7 @@
                                      each 20 ms as long as it holds
     acts NAME SECONDS                somebody acts, from now on, within so long
     passes NAME SECONDS              somebody acts under a higher token than now, within so long
+    busy NAME N SECONDS              N act, each in a slot of its own, within so long
     hand-on NAME SECONDS             who holds it is told to hand it on; the same is waited for
     none A COUNTER                   this counter of each of A does not move any more (for half a second)
     MS                               milliseconds pass
@@ -66,7 +67,7 @@
 AFTER = 15.0  # seconds after a trouble in which a burial is put down to it
 LOOK = 0.05  # seconds between two looks at what a process says
 NAMES = {  # how many lists of names a step has
-    **dict.fromkeys(("heal", "agree", "acts", "passes", "hand-on"), 0),
+    **dict.fromkeys(("heal", "agree", "acts", "passes", "busy", "hand-on"), 0),
     **dict.fromkeys(("stop", "wake", "kill", "term", "start", "choke", "free", "slow", "upgrade"), 1),
     **dict.fromkeys(("garbage", "storm", "view", "none", "take", "give", "duty", "twin", "told"), 1),
     **dict.fromkeys(("cut", "oneway", "loss", "double", "corrupt", "delay", "narrow", "hold"), 2),
@@ -75,6 +76,7 @@
 FIGURES = {  # and how many figures or words at least
     **dict.fromkeys(("storm", "loss", "double", "corrupt", "delay", "narrow", "agree", "none", "duty"), 1),
     **dict.fromkeys(("say", "view", "acts", "passes", "hand-on", "told"), 2),
+    "busy": 3,
 }
 WAITS = (
     "heal",
@@ -86,6 +88,7 @@
     "give",
     "acts",
     "passes",
+    "busy",
     "hand-on",
     "duty",
     "told",
@@ -103,6 +106,7 @@
     name: str = ""
     voters: int = 0  # the first so many; none: no leases
     launch: str = "switchhub"  # the module that is started
+    counted: dict[str, int] = field(default_factory=dict)  # names that so many may hold
 
     def toml(self) -> str:
         """As a file."""
@@ -110,7 +114,9 @@
         head["launch"] = self.launch
         lines = [f"{key} = {json.dumps(value)}" for key, value in head.items()]
         lines += ["steps = [", *(f"    {json.dumps(step)}," for step in self.steps), "]", "", "[peers]"]
-        return "\n".join([*lines, *(f"{key} = {value}" for key, value in self.peers.items())]) + "\n"
+        lines += [f"{key} = {value}" for key, value in self.peers.items()]
+        lines += ["", "[counted]", *(f"{key} = {value}" for key, value in self.counted.items())]
+        return "\n".join(lines) + "\n"
 
 
 def read(text: str, where: str = "plan") -> Plan:
@@ -119,7 +125,7 @@
         data = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise PlanError(f"{where}: {error}") from None
-    keys = ("name", "balancers", "steps", "peers", "start", "voters", "launch")
+    keys = ("name", "balancers", "steps", "peers", "start", "voters", "launch", "counted")
     if unknown := sorted(set(data) - set(keys)):
         raise PlanError(f"{where}: {unknown[0]}: expected one of {', '.join(keys)}")
     balancers, steps = data.get("balancers"), data.get("steps")
@@ -132,7 +138,8 @@
         raise PlanError(f"{where}: voters = {voters!r}: expected 0, 1, 3, 5 or 7, and balancers for them")
     start, name = data.get("start", True), data.get("name", "")
     launch = data.get("launch", "switchhub")
-    plan = Plan(balancers, tuple(steps), data.get("peers", {}), start, name, voters, launch)
+    counted = data.get("counted", {})
+    plan = Plan(balancers, tuple(steps), data.get("peers", {}), start, name, voters, launch, counted)
     for number, step in enumerate(steps):
         try:
             words(step, balancers)
@@ -332,6 +339,8 @@
                 f"voters = {json.dumps(voters)}",
                 f"before = {json.dumps(before)}",
                 f"folder = {json.dumps(str(self._folder))}",
+                "[leases.counted]",
+                *(f"{key} = {value}" for key, value in self.plan.counted.items()),
             ]
         return "\n".join(lines) + "\n"
 
@@ -361,8 +370,8 @@
         elif verb == "duty":
             for name in named[0]:
                 await self._hold(name, rest[0])
-        elif verb in ("acts", "passes", "hand-on"):
-            await self._wait_for_effect(verb, rest[0], float(rest[1]))
+        elif verb in ("acts", "passes", "busy", "hand-on"):
+            await self._wait_for_effect(verb, rest[0], float(rest[-1]), int(rest[1]) if rest[2:] else 1)
             self.record.took[step] = round(self.now() - begun, 3)
         elif verb == "twin":
             for name in named[0]:
@@ -493,7 +502,8 @@
             self.record.effects.append((round(self.now(), 4), lease, int(token), by))
 
     def _actor(self, lease: str) -> str:
-        return next((by for _, name, _, by in reversed(self.record.effects) if name == lease), self.names[0])
+        acts = (by for _, name, _, by in reversed(self.record.effects) if name.partition("#")[0] == lease)
+        return next(acts, self.names[0])
 
     async def _lease(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
         called = [line for line in self.record.logs[name] if "management on" in line]
@@ -520,7 +530,7 @@
             self._holders.remove(holder)
             await asyncio.sleep(LOOK)
 
-    async def _wait_for_effect(self, verb: str, lease: str, limit: float) -> None:
+    async def _wait_for_effect(self, verb: str, lease: str, limit: float, wanted: int) -> None:
         effects, begun = self.record.effects, len(self.record.effects)
         top = max((token for _, name, token, _ in effects if name == lease), default=0)
         if verb == "hand-on":
@@ -529,6 +539,10 @@
             await self._lease(holder, "hand-on", lease, heir)
 
         def acted() -> bool:
+            if verb == "busy":
+                since = max((at for at, *_ in effects), default=0.0) - LOOK
+                late = [each for each in effects[begun:] if each[0] >= since]
+                return len({(name, by) for _, name, _, by in late if name.startswith(f"{lease}#")}) == wanted
             mine = [token for _, name, token, _ in effects[begun:] if name == lease]
             return any(verb == "acts" or token > top for token in mine)
 
--- a/switchhub/leases/asker.py
+++ b/switchhub/leases/asker.py
@@ -41,7 +41,7 @@
     """Something has become of a name."""
 
     lease: str
-    what: str  # held, raised, weak, lost, released, handed on
+    what: str  # held, raised, weak, lost, released, handed on; taken: somebody else holds it
     token: int
     why: str
 
@@ -292,6 +292,9 @@
             want.tries = 0
             over = -self.terms.confirmed({name: -each for name, each in left.items()})
             self._later(want, now, min(over, self.terms.length / 4))
+            self.events.append(
+                Event(want.lease, "taken", 0, next(each.holder for each in told if each.holder))
+            )
 
     def _hear_answer(self, message: Answer, voter: str, now: float) -> None:
         want = self.wants.get(message.lease)
--- a/switchhub/leases/cli.py
+++ b/switchhub/leases/cli.py
@@ -56,7 +56,7 @@
                     print(f"lease: {told.via}: {error}", file=sys.stderr)
                     return 2
             if child is None and until - _now() > 2 * ENDS:
-                environ = {**os.environ, "SWITCHHUB_LEASE": told.name, "SWITCHHUB_TOKEN": str(token)}
+                environ = {**os.environ, "SWITCHHUB_LEASE": row["name"], "SWITCHHUB_TOKEN": str(token)}
                 child = subprocess.Popen(told.command, env=environ)
             if child is None and _now() >= gives_up:
                 print(f"lease: {told.name}: not held within {told.wait:g} s", file=sys.stderr)
--- a/switchhub/leases/rules.py
+++ b/switchhub/leases/rules.py
@@ -36,6 +36,7 @@
     margin: float = 0.15  # seconds before its end at which a holder stops acting
     reserve: float = 1.0  # seconds for which a name that is handed on is for its heir alone
     before: tuple[str, ...] = ()  # the voters of before, while they are changed
+    counted: tuple[tuple[str, int], ...] = ()  # names that so many may hold: `NAME#0` and on, each a lease
 
     @property
     def sets(self) -> tuple[tuple[str, ...], ...]:
@@ -52,6 +53,16 @@
         """Who votes, as a number for each set, 0 where there is one: votes of different ones never add up."""
         return number(self.voters), number(self.before)
 
+    def most(self, name: str) -> int:
+        """How many may hold a counted name; 0 for any other."""
+        return dict(self.counted).get(name, 0)
+
+    def stands(self, lease: str) -> bool:
+        """Whether there is such a lease: of a counted name there are its slots alone."""
+        name, sign, slot = lease.partition("#")
+        most = self.most(name)
+        return slot in map(str, range(most)) if most else not sign
+
     def won(self, names: Collection[str]) -> bool:
         """Whether these are a majority of each set."""
         return all(sum(name in names for name in each) > len(each) // 2 for each in self.sets)
--- a/switchhub/leases/service.py
+++ b/switchhub/leases/service.py
@@ -3,7 +3,10 @@
 Owns: its voter, its asker, and who wants what for how long. Must never: do I/O or read a clock.
 
 Somebody outside of the process wants a name by saying so again and again (`keep`): whoever falls silent for
-`KEEPS` seconds has its name released. Danger: a command that has lost sight of its balancer must be over
+`KEEPS` seconds has its name released. Parts of the balancer want a name until they say otherwise (`want`).
+Of a counted name one slot is wanted at a time, and the next one when somebody else has that.
+
+Danger: a command that has lost sight of its balancer must be over
 before that balancer's lease is; so it is told how long its lease lasts, and counts from when it asked; and
 silence releases nothing before that time is over.
 """
@@ -14,6 +17,7 @@
 from switchhub.leases.messages import Answer, Dropped, Message, Pass, Renewed, Send, Told, Who
 from switchhub.leases.rules import Terms
 from switchhub.leases.voter import Voter
+from switchhub.membership.lot import Lot
 
 KEEPS = 2.0  # seconds
 TOLD = 1800  # milliseconds at most that somebody outside is told to have left: less than KEEPS by all drift
@@ -42,6 +46,8 @@
         self.out: list[Send] = []
         self.said: list[str] = []  # for the log
         self._keeps: dict[str, float] = {}  # until when names are wanted from outside
+        self._slots: dict[str, int] = {}  # of counted names that are wanted
+        self._lot = Lot(seed)
         self._ending: dict[str, tuple[str, str]] = {}  # kept names to be let go, and their heirs
 
     def keep(self, lease: str, now: float) -> None:
@@ -50,8 +56,33 @@
             return
         if lease in self._keeps or len(self._keeps) < WANTED_MOST:
             self._keeps[lease] = now + KEEPS
-            self.asker.want(lease, now)
-            self._gather()
+            self.want(lease, now)
+
+    def want(self, name: str, now: float) -> None:
+        """A part of this balancer wants it, until it is released."""
+        if (most := self.terms.most(name)) and name not in self._slots:
+            self._slots[name] = self._lot.below(most)
+        self.asker.want(self.lease(name), now)
+        self._gather(now)
+
+    def lease(self, name: str) -> str:
+        """What is wanted of this name: itself, or a slot of it."""
+        return f"{name}#{self._slots[name]}" if name in self._slots else name
+
+    def held(self, name: str, now: float) -> int | None:
+        """Its token, that its hold began with, if it is held at this moment."""
+        lease = self.lease(name)
+        return None if self.asker.held(lease, now) is None else self.asker.wants[lease].first
+
+    def _next_slot(self, name: str, now: float, slot: int | None = None) -> None:
+        """Another one is wanted instead. Danger: what is held or bid for is not let go for it."""
+        before = self.asker.wants.get(self.lease(name))
+        if before is None or before.hold is not None or before.bid is not None:
+            return
+        at, most = before.at, self.terms.most(name)
+        self.asker.release(self.lease(name), now)
+        self._slots[name] = (self._slots[name] + 1) % most if slot is None else slot
+        self.asker.want(self.lease(name), now if slot is not None else now + (at - now) / most)
 
     def end(self, lease: str, now: float, heir: str = "", address: str = "") -> bool:
         """Staff want it let go, or handed on; whether it was wanted here.
@@ -71,12 +102,14 @@
         """Nobody outside acts for it any more."""
         return self.release(lease, now, *self._ending.pop(lease, ("", "")))
 
-    def release(self, lease: str, now: float, heir: str = "", address: str = "") -> bool:
+    def release(self, name: str, now: float, heir: str = "", address: str = "") -> bool:
         """Let it go, or hand it on; whether it was wanted here."""
+        lease = self.lease(name)
         wanted = lease in self.asker.wants
-        self._keeps.pop(lease, None)
+        self._keeps.pop(name, None)
+        self._slots.pop(name, None)
         self.asker.release(lease, now, heir, address)
-        self._gather()
+        self._gather(now)
         return wanted
 
     def leave(self, now: float) -> None:
@@ -85,8 +118,8 @@
         Danger: what it holds for a command outside is not, for that acts on until nobody answers it;
         the voters' word for it runs out later than that."""
         for lease in list(self.asker.wants):
-            if lease not in self._keeps:
-                self.release(lease, now)
+            if (name := lease.partition("#")[0]) not in self._keeps:
+                self.release(name, now)
 
     def deadline(self) -> float:
         """When `turn` is due."""
@@ -102,20 +135,29 @@
         self.asker.turn(now)
         if self.voter is not None:
             self.voter.turn(now)
-        self._gather()
+        self._gather(now)
 
     def receive(self, now: float, message: Message) -> None:
         """Somebody says something."""
         if isinstance(message, FOR_ASKERS):
+            if isinstance(message, Pass):
+                name, _, slot = message.lease.partition("#")
+                if name in self._slots and self.terms.stands(message.lease):
+                    self._next_slot(name, now, int(slot))
             self.asker.receive(now, message)
         elif self.voter is not None:
             self.voter.receive(now, message)
-        self._gather()
-
-    def _gather(self) -> None:
-        for event in self.asker.events:
+        self._gather(now)
+
+    def _gather(self, now: float) -> None:
+        events, self.asker.events = self.asker.events, []
+        for event in events:
+            name = event.lease.partition("#")[0]
+            if event.what == "taken":
+                if name in self._slots and self.lease(name) == event.lease:
+                    self._next_slot(name, now)
+                continue
             self.said.append(f"{event.lease} {event.what} (token {event.token}): {event.why}")
-        self.asker.events.clear()
         self.out += self.asker.out
         self.asker.out.clear()
         if self.voter is not None:
@@ -124,6 +166,12 @@
             self.voter.news.clear()
             self.voter.out.clear()
 
+    def row(self, name: str, now: float) -> dict[str, object]:
+        """What is known of one that is wanted here, or was."""
+        lease = self.lease(name)
+        rows = [row for row in self.rows(now) if row["name"] == lease]
+        return rows[0] if rows else _row(lease, "", 0, 0, False, "unknown")
+
     def rows(self, now: float) -> list[dict[str, object]]:
         """What is known of each name: what this balancer wants, and what it has voted for. The token of what
         it holds is the one that the hold began with: it changes only if somebody else may have held since."""
--- a/switchhub/leases/voter.py
+++ b/switchhub/leases/voter.py
@@ -194,6 +194,8 @@
             return "another electorate"
         if message.length_ms > self.terms.longest * 1000:
             return "longer than a lease may be"
+        if not self.terms.stands(message.lease):
+            return "no such lease"
         lease, who = message.lease, message.source
         grant, top = self._live(lease, now), self.tops.get(lease, self.floor)
         if grant is not None and not self._same(grant, who) and grant.heir != who.name:
--- a/switchhub/operator_file.py
+++ b/switchhub/operator_file.py
@@ -58,6 +58,7 @@
     length_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000
     longest_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000  # that any balancer's file may have
     margin_ms: Annotated[int, Meta(ge=10, le=10_000)] = 150  # before its end at which a holder stops
+    counted: dict[str, Annotated[int, Meta(ge=1, le=64)]] = {}  # names that so many may hold at a time
     folder: str = ""  # that survives: a voter's tokens rise even if all voters are started again at once
 
 
@@ -183,6 +184,9 @@
         faults.append(
             f"leases.before: expected most of them among voters, {len(gone)} of {len(told.before)} are not"
         )
+    for name in told.counted:
+        if not 0 < len(name.encode()) <= 60 or "#" in name:
+            faults.append(f"leases.counted: expected names of 1 to 60 bytes without '#', not {name!r}")
     if told.folder and not Path(told.folder).is_dir():
         faults.append(f"leases.folder = {told.folder!r}: expected a folder that is there")
     if told.longest_ms < told.length_ms:
--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -39,6 +39,7 @@
 from switchhub.operator_file import Leases as LeaseTerms
 from switchhub.operator_file import Peers
 from switchhub.peers.form import DATAGRAM, WHOLE, FormError, Message, pack, unpack
+from switchhub.peers.hold import Hold
 
 AT_ONCE = 64  # datagrams read before anything else has its turn
 LISTENERS, TALKERS = 32, 16  # connections taken in and made at a time
@@ -81,10 +82,12 @@
                 leases.longest_ms / 1000,
                 leases.margin_ms / 1000,
                 before=tuple(leases.before),
+                counted=tuple(leases.counted.items()),
             )
             if leases.folder:
                 self._tokens = Tokens(Path(leases.folder), name, self._terms.electorate)
         self._leases: Leases | None = None
+        self._holds: dict[str, Hold] = {}  # by parts of this balancer
         self.counts: Counter[str] = Counter()
         self._lock = threading.Lock()
         self._core: Membership | None = None
@@ -114,6 +117,32 @@
         self._loop.call_soon_threadsafe(self._leave)
         self._thread.join(ROUND)
 
+    def hold(self, name: str) -> Hold:
+        """Want this name for a part of the balancer, until it is released; from that part's event loop."""
+        hold = Hold(name, partial(self._token, name), partial(self._end, name))
+        with self._lock:
+            self._holds[name] = hold
+        self._loop.call_soon_threadsafe(self._turn)
+        return hold
+
+    def _token(self, name: str) -> int | None:
+        with self._lock:
+            return None if self._leases is None else self._leases.held(name, clock())
+
+    def _end(self, name: str, heir: str = "") -> bool:
+        """A part of the balancer lets it go; whether that could be: not to somebody who is not there."""
+        with self._lock:
+            core, leases = self._core, self._leases
+            member = None if core is None else core.members.get(heir)
+            if heir and (member is None or member.news.state is not State.ALIVE):
+                return False
+            if (hold := self._holds.pop(name, None)) is not None:
+                hold.tell(None)
+            address = member.news.address if member is not None else ""
+            released = leases is not None and leases.release(name, clock(), heir, address)
+            self._loop.call_soon_threadsafe(self._turn)
+            return released
+
     def pages(self) -> dict[str, Callable[[str, str], tuple[int, str]]]:
         """What staff may read and say at the management address."""
         pages: dict[str, Callable[[str, str], tuple[int, str]]] = {"/members": self._page_members}
@@ -141,8 +170,8 @@
         if method != "PUT":
             return 405, "this path takes PUT\n"
         name, _, heir = (unquote(part) for part in query.partition("&"))
-        if not 0 < len(name.encode()) <= 64:
-            return 400, "expected a name of 1 to 64 bytes behind the ?\n"
+        if not 0 < len(name.encode()) <= 60 or "#" in name:
+            return 400, "expected a name of 1 to 60 bytes without '#' behind the ?\n"
         with self._lock:
             leases, core, now = self._leases, self._core, clock()
             if leases is None or core is None:
@@ -159,10 +188,8 @@
                 if not leases.end(name, now, heir, address):
                     return 409, f"{name!r} is not wanted here\n"
             self._loop.call_soon_threadsafe(self._turn)
-            rows = [row for row in leases.rows(now) if row["name"] == name]
-            row = rows[0] if rows else {"name": name, "mine": False, "token": 0, "remaining_ms": 0}
             # Danger: who hears nothing more from us acts for so long; we release the name no sooner.
-            row = {**row, "ends": leases.ends(name)}
+            row = {**leases.row(name, now), "ends": leases.ends(name)}
             row = {**row, "remaining_ms": min(int(str(row["remaining_ms"])), TOLD)}
             return 200, json.dumps(row) + "\n"
 
@@ -232,6 +259,8 @@
             self._timer = None
         with self._lock:
             self._core = self._leases = None
+            for hold in self._holds.values():
+                hold.tell(None)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
@@ -330,6 +359,8 @@
             if self._core is not None:
                 self._core.turn(clock())
                 if self._leases is not None:
+                    for name in self._holds:
+                        self._leases.want(name, clock())
                     self._leases.turn(clock())
                 self._flush()
 
@@ -358,6 +389,8 @@
             for line in leases.said:
                 logger.info("leases: {}", line)
             leases.said.clear()
+            for name, hold in self._holds.items():
+                hold.tell(leases.held(name, clock()))
             due = min(due, leases.deadline())
         if due == float("inf") or (self._timer is not None and self._timer_at <= due):
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -171,6 +171,17 @@
     assert wrong.faults() or (wrong.buried() and not sound.buried()), failed(wrong)
 
 
+def test_a_counted_name_has_two_holders_and_never_three() -> None:
+    """A slot whose holder is killed, stopped or cut off is another's soon."""
+    steps = (
+        "duty * r", "busy r 2 10", "kill @r", "500", "busy r 2 6", "stop @r", "1500", "busy r 2 6",
+        "cut @r *", "1500", "busy r 2 6", "heal", "1000", "busy r 2 6",
+    )  # fmt: skip
+    (record,) = play_all([Plan(6, steps, voters=3, counted={"r": 2})], 1)
+    assert not record.faults() and len(record.effects) > 50, failed(record)
+    assert {lease for _, lease, _, _ in record.effects} == {"r#0", "r#1"}
+
+
 def test_with_its_only_seeds_dead_at_the_start_it_serves_and_joins_later() -> None:
     (record,) = play_all([SEEDLESS], 1)
     assert not record.faults(), failed(record)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -227,6 +227,57 @@
             assert found.fault is not None and "hold" in found.fault, found
 
 
+def test_a_counted_name_has_so_many_holders_and_each_a_slot_of_its_own() -> None:
+    """Five want it, three may; what is let go is taken up; one whose file allows more gets no further."""
+    table = Table()
+    terms = replace(table.terms, counted=(("r", 3),))
+    for name in table.terms.voters:
+        table.parts[name] = Voter(_who(name), terms, -10.0, 0)
+        table.parts[name].turn(0.0)
+    nodes = {f"b{n}": Leases(_who(f"b{n}"), terms, n, 0.0) for n in range(5)}
+    nodes["b0"].terms = nodes["b0"].asker.terms = replace(terms, counted=(("r", 9),))
+    table.parts |= nodes
+    for node in nodes.values():
+        node.want("r", 0.0)
+
+    def holders() -> dict[str, str]:
+        return {name: node.lease("r") for name, node in nodes.items() if node.held("r", table.now)}
+
+    seen = 0
+    for step in range(1200):
+        table.run(0.01)
+        now = holders()
+        seen = max(seen, len(now))
+        assert len(now) <= 3 and len(set(now.values())) == len(now)
+        if step == 600:
+            assert len(now) == 3
+            nodes[min(now)].release("r", table.now)
+    assert len(holders()) == seen == 3
+    assert Voter(_who("v0"), terms, 0.0, 0)._bid(_bid("a", 1, lease="r"), 9.0) == "does not vote yet"
+    voter = table.parts["v0"]
+    assert isinstance(voter, Voter)
+    assert {voter._bid(_bid("a", 1, lease=each), 9.0) for each in ("r", "r#3", "x#0")} == {"no such lease"}
+
+
+def test_a_slot_that_is_handed_on_is_its_heirs_at_once() -> None:
+    table = Table()
+    terms = replace(table.terms, counted=(("r", 2),))
+    for name in table.terms.voters:
+        table.parts[name] = Voter(_who(name), terms, -10.0, 0)
+        table.parts[name].turn(0.0)
+    nodes = {f"b{n}": Leases(_who(f"b{n}"), terms, n, 0.0) for n in range(4)}
+    table.parts |= nodes
+    for node in nodes.values():
+        node.want("r", 0.0)
+    table.run(3.0)
+    holder = next(name for name, node in nodes.items() if node.held("r", table.now))
+    heir = next(name for name, node in nodes.items() if not node.held("r", table.now))
+    slot = nodes[holder].lease("r")
+    nodes[holder].release("r", table.now, heir, heir)
+    table.run(0.05)
+    assert nodes[heir].held("r", table.now) and nodes[heir].lease("r") == slot
+
+
 def test_voters_are_changed_without_a_gap_longer_than_a_lease() -> None:
     """As staff do it: with both sets first who does not vote; without `before` first who votes."""
     table = Table(askers=2)
@@ -434,7 +485,7 @@
     def __init__(self, voters: int = 3, askers: int = 1) -> None:
         names = [f"v{number}" for number in range(voters)]
         self.terms = Terms(tuple(names), length=3.0, longest=3.0)
-        self.parts: dict[str, Voter | Asker] = {
+        self.parts: dict[str, Voter | Asker | Leases] = {
             name: Voter(_who(name), self.terms, -10.0, 0) for name in names
         }
         self.askers = {f"a{n}": Asker(_who(f"a{n}"), self.terms, n, 0.0) for n in range(askers)}
@@ -594,7 +645,7 @@
         if path.startswith("/leases/let-go"):
             let_go.append(path)
             return {}
-        return {"mine": True, "token": next(tokens), "remaining_ms": 1800, "ends": False}
+        return {"name": "d", "mine": True, "token": next(tokens), "remaining_ms": 1800, "ends": False}
 
     monkeypatch.setattr(cli, "fetch", fetch)
     monkeypatch.setattr(cli, "EVERY", 0.05)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
+from typing import cast
 
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from switchhub.lab.live.runner import ports
 from switchhub.leases import messages as leases
+from switchhub.lifecycle.phase import Phase
 from switchhub.membership.core import NEWS_MOST, Membership, Options
 from switchhub.membership.messages import Ack, Indirect, Message, Nack, News, Ping, Source, State, Whole
-from switchhub.operator_file import OperatorError, read
+from switchhub.operator_file import Leases, OperatorError, Peers, read
 from switchhub.peers.form import DATAGRAM, VERSION, FormError, pack, unpack
+from switchhub.peers.node import Node
 
 ROOT = Path(__file__).parent.parent
 names = st.text(min_size=1, max_size=16)
@@ -141,6 +146,8 @@
         ('[leases]\nvoters = ["1.2.3.4:5"]\nbefore = ["1.2.3.4:5"]\n', "other voters than leases.voters"),
         ('[leases]\nvoters = ["1.2.3.4:5"]\nbefore = ["1.2.3.4:6"]\n', "1 of 1 are not"),
         ('[leases]\nvoters = ["1.2.3.4:5"]\nbefore = ["1.2.3.4:5", "1.2.3.4:6"]\n', "before: expected 1, 3"),
+        ('[leases]\nvoters = ["1.2.3.4:5"]\n[leases.counted]\nr = 0\n', "counted = .*expected .*1"),
+        ('[leases]\nvoters = ["1.2.3.4:5"]\n[leases.counted]\n"r#" = 2\n', "without '#', not 'r#'"),
         ('[leases]\nvoters = ["1.2.3.4:5"]\nlongest_ms = 2000\n', "length_ms = 3000 or more"),
         ('[leases]\nvoters = ["1.2.3.4:5"]\nmargin_ms = 900\n', "a quarter of length_ms"),
     ],
@@ -155,3 +162,41 @@
 def test_the_example_serves() -> None:
     told = read(ROOT / "deploy" / "operator.example.toml")
     assert told.peers is not None and told.peers.address == "10.0.0.5:7946"
+
+
+def test_a_part_of_the_balancer_holds_a_name_is_told_and_hands_it_on() -> None:
+    """Two nodes on loopback, one of them the only voter: both want it, one has it; then the voter goes."""
+
+    async def play() -> None:
+        (port,) = ports("127.0.0.1", 1)
+        places = [f"127.0.0.{number}:{port}" for number in (1, 2)]
+        terms = Leases(voters=places[:1], length_ms=500, longest_ms=500, margin_ms=50)
+        nodes = [
+            Node(Peers(cluster="x", listen=place, seeds=places), f"n{number}", terms)
+            for number, place in enumerate(places)
+        ]
+        try:
+            for node in nodes:
+                node.follow(Phase.READY)
+            holds = [node.hold("d") for node in nodes]
+            async with asyncio.timeout(20.0):
+                won = [asyncio.create_task(hold.won()) for hold in holds]
+                done, _ = await asyncio.wait(won, return_when=asyncio.FIRST_COMPLETED)
+                assert len(done) == 1
+                at = won.index(done.pop())
+                first, second = holds[at], holds[1 - at]
+                assert first.held() and not second.held()
+                token = cast(int, first.token)
+                while not first.release(f"n{1 - at}"):  # until they know each other
+                    await asyncio.sleep(0.01)
+                assert not first.held() and first.token is None
+                await first.lost()
+                assert await won[1 - at] > token
+                nodes[0].close()
+                await second.lost()
+                assert not second.held()
+        finally:
+            for node in nodes:
+                node.close()
+
+    asyncio.run(play())
