A node among the others may be closed twice, and ends its tasks before its loop

Tasks that were cancelled at the end were destroyed while pending, which asyncio reported on each end. Now a second close does nothing, and the thread waits for what it cancelled.

--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -113,8 +113,9 @@
             self._loop.call_soon_threadsafe(self._want, False)
 
     def close(self) -> None:
-        """The process ends: the others hear that it leaves, unless it gave way."""
-        self._loop.call_soon_threadsafe(self._leave)
+        """The process ends: the others hear that it leaves, unless it gave way. A second time does nothing."""
+        with contextlib.suppress(RuntimeError):  # it has ended
+            self._loop.call_soon_threadsafe(self._leave)
         self._thread.join(ROUND)
 
     def hold(self, name: str) -> Hold:
@@ -221,7 +222,9 @@
         try:
             self._loop.run_forever()
         finally:
+            left = list(self._tasks)
             self._shut()
+            self._loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
             self._loop.close()
 
     def _want(self, wanted: bool) -> None:
