Too few descriptors to start: one line, status 2; the rig bears a process that ended

Probe: limits of 4 to 21, with and without an operator file: a traceback with 7 to 12 (7 to 17 with peers), in the event loop's pipes, the peers' thread or the log. Python itself needs 5.

Change: before anything else is opened the limit is looked at: 32 descriptors are kept for files, and below 40 nobody could be served. One that runs out between (the rig's choke) says so in one line too. The rig suppresses a limit on what has ended; the record tells the end. Drawn plans kill instead of choking one that is starting.

Measured: status 2 and the line with 8, 12 and 39 (tests).

--- a/switchhub/__main__.py
+++ b/switchhub/__main__.py
@@ -10,6 +10,7 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import sys
 from pathlib import Path
@@ -19,12 +20,14 @@
 from loguru import logger
 
 from switchhub.net.config import Config, ConfigError, read_config
+from switchhub.net.lines import FOR_FILES
 from switchhub.net.listener import Listener
 
 if TYPE_CHECKING:
     from switchhub.handover.taker import Taker
     from switchhub.peers.node import Node
 
+FEWEST = FOR_FILES + 8  # descriptors with which a balancer can serve anybody
 LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 
 
@@ -94,8 +97,14 @@
         diagnose=False,
     )
     try:
+        few = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if few < FEWEST:
+            raise ConfigError(f"limit on open files {few}: expected {FEWEST} or more")
         config = read_config(os.environ)
         node = peers(config)
+    except OSError as error:  # no descriptor for the peers' thread
+        print(f"switchhub: can't start: {error}", file=sys.stderr)
+        return 2
     except ConfigError as error:
         for line in str(error).splitlines():
             print(f"switchhub: {line}", file=sys.stderr)
--- a/switchhub/lab/faults/hunt.py
+++ b/switchhub/lab/faults/hunt.py
@@ -28,6 +28,7 @@
     dead: set[str] = set()
     stopped: set[str] = set()
     choked: set[str] = set()
+    restarted: set[str] = set()
     steps: list[str] = []
     for _ in range(rng.randint(3, 9)):
         running = [name for name in names if name not in dead | stopped]
@@ -41,12 +42,15 @@
         if choice < 0.30 and len(running) > 2:
             verb = rng.choice(("kill", "kill", "stop", "stop", "term", "choke"))
             hit = rng.sample(running, rng.randint(1, max(1, (len(running) - 1) // 2)))
+            if verb == "choke" and restarted.intersection(hit):
+                verb = "kill"  # one that is starting ends for want of descriptors, and says so
             {"kill": dead, "term": dead, "stop": stopped, "choke": choked}[verb].update(hit)
             choked -= dead
             steps.append(f"{verb} {','.join(sorted(hit))}")
         elif choice < 0.45 and dead | stopped:
             name = rng.choice(sorted(dead | stopped))
             steps.append(f"{'start' if name in dead else 'wake'} {name}")
+            restarted.update({name} & dead)
             dead.discard(name)
             stopped.discard(name)
         elif choice < 0.60:
--- a/switchhub/lab/faults/stage.py
+++ b/switchhub/lab/faults/stage.py
@@ -151,8 +151,9 @@
 
     def _limit(self, name: str, choke: bool) -> None:
         pid = self._processes[name].pid
-        _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (CHOKED if choke else hard, hard))
+        with contextlib.suppress(ProcessLookupError):  # it has ended, which the record tells
+            _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, (CHOKED if choke else hard, hard))
 
     async def _ask(self, name: str, path: str) -> tuple[int, bytes] | None:
         """A call at its management address: status and body."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import resource
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -141,3 +144,17 @@
     assert read_config(environ).management == ("10.0.0.4", 1)
     assert read_config({**environ, "BALANCER_MANAGEMENT": "10.0.0.4:2"}).management == ("10.0.0.4", 2)
     assert read_config(write(tmp_path, told())).management is None
+
+
+@pytest.mark.parametrize("few", [8, 12, 39])
+def test_too_few_descriptors_to_start_are_one_line(few: int) -> None:
+    """Found by the rig: a traceback, and status 1."""
+    done = subprocess.run(
+        [sys.executable, "-m", "switchhub"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (few, few)),
+    )
+    assert done.returncode == 2
+    assert done.stderr == f"switchhub: limit on open files {few}: expected 40 or more\n"
