--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -9,6 +9,7 @@
 
 import argparse
 import json
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -393,6 +394,8 @@
 def main(arguments: list[str]) -> int:
     """The exit status."""
     told = _parser().parse_args(arguments)
+    # Danger: ended by a signal that nobody hears, a play would leave its processes behind.
+    signal.signal(signal.SIGTERM, lambda number, frame: signal.raise_signal(signal.SIGINT))
     try:
         return VERBS[told.verb](told)
     except ScenarioError as error:
