--- a/switchhub/cli.py
+++ b/switchhub/cli.py
@@ -20,6 +20,7 @@
     "check": ("switchhub.operator_file", "requirements-peers.txt"),
     "members": ("switchhub.peers.cli", "requirements-peers.txt"),
     "lease": ("switchhub.leases.cli", "requirements-peers.txt"),
+    "leases": ("switchhub.leases.cli", "requirements-peers.txt"),
 }
 
 
@@ -44,6 +45,7 @@
     )
     commands.add_parser("check", help="say what is wrong with an operator file", add_help=False)
     commands.add_parser("lease", help="duties that only one may hold: list, hold, release", add_help=False)
+    commands.add_parser("leases", help="HOST:PORT: the same as lease list --via HOST:PORT", add_help=False)
     commands.add_parser("members", help="who is there, as one balancer sees it", add_help=False)
     return parser
 
@@ -73,4 +75,6 @@
         needs = f"{told.command} needs its libraries: pip install -r {listed} (no {error.name})"
         print(f"switchhub: {needs}", file=sys.stderr)
         return 2
+    if told.command == "leases":
+        rest = ["list", "--via", *rest]
     return int(command.main(rest))
