The rig starts a holder anew only when it has ended or its balancer is another process

A whole run of the tests on a clean clone failed twice. "With one voter in a minority": nobody else acted within 4.5 s, for the rig's holders gave up waiting each 5 s and were started again (mine, with the drawn plans): a candidate was away just when the holder fell. Seen in the record: the holder's last effect at 6.9 s, holders begun at 2 s. Now they wait 600 s as before and are started anew when they have ended, or when the management address that they call is another's.

--- a/switchhub/lab/faults/fleet.py
+++ b/switchhub/lab/faults/fleet.py
@@ -528,9 +528,13 @@
         acts = (by for _, name, _, by in reversed(self.record.effects) if name.partition("#")[0] == lease)
         return next(acts, self.names[0])
 
-    async def _lease(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
+    def _called(self, name: str) -> str:
+        """Its management address."""
         called = [line for line in self.record.logs[name] if "management on" in line]
-        via = called[-1].rsplit(" ", 1)[1]
+        return called[-1].rsplit(" ", 1)[1]
+
+    async def _lease(self, name: str, *arguments: str) -> asyncio.subprocess.Process:
+        via = self._called(name)
         verb, lease, *rest = arguments
         holder = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "switchhub", "lease", verb, lease, "--via", via, *rest, cwd=ROOT
@@ -552,13 +556,19 @@
         acts = (sys.executable, "-m", "switchhub.lab.faults.effects", f"{host}:{port}", name)
         await self._until(lambda: name in self._serving)
         self._duties.setdefault(lease, []).append(name)
-        self._start(self._again_and_again(name, "hold", lease, "--wait", "5", "--", *acts))
+        self._start(self._again_and_again(name, "hold", lease, "--wait", "600", "--", *acts))
 
     async def _again_and_again(self, name: str, *arguments: str) -> None:
         """A holder that has ended is started again, as an installation's supervisor does."""
         while self._going:
+            at = self._called(name)
             holder = await self._lease(name, *arguments)
             self._at.setdefault(name, []).append(holder)
+            # Danger: started anew now and then, a candidate is away just when the holder falls.
+            while holder.returncode is None and self._called(name) == at:
+                await asyncio.sleep(5 * LOOK)
+            if holder.returncode is None:  # its balancer is another process now, at another address
+                holder.terminate()
             await holder.wait()
             self._at[name].remove(holder)
             self._holders.remove(holder)
