A hold that goes on under the same token wakes who waits; a play told to end is tested

Read once more, found and mended: - `Hold.won()`: a lease that is over by the clock for a moment and is then confirmed by a late answer goes on under its token; nothing has changed, so nobody was told, and whoever began to wait in between waited for ever. A mutant repeated a signature.

Looked for and left: `floor, files, same` stand in the voter's and the service's signature alike, one hands them on.

--- a/switchhub/peers/hold.py
+++ b/switchhub/peers/hold.py
@@ -10,6 +10,8 @@
 import contextlib
 from collections.abc import Callable
 
+SOON = 0.02  # seconds
+
 
 class Hold:
     """Made by `Node.hold`, in the loop of whoever waits."""
@@ -35,8 +37,9 @@
     async def won(self) -> int:
         """Wait until it is held; its token."""
         while (token := self._look()) is None:
-            self._won.clear()
-            await self._won.wait()
+            # Danger: over by the clock and not told yet, it may go on under the same token; that is told to
+            # nobody, for nothing has changed.
+            await (asyncio.sleep(SOON) if self._won.is_set() else self._won.wait())
         return token
 
     async def lost(self) -> None:
--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -122,6 +122,8 @@
         """Want this name for a part of the balancer, until it is released; from that part's event loop."""
         hold = Hold(name, partial(self._token, name), partial(self._end, name))
         with self._lock:
+            if name in self._holds:
+                raise ValueError(f"{name!r} is wanted by a part of this balancer already")
             self._holds[name] = hold
         self._loop.call_soon_threadsafe(self._turn)
         return hold
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,9 +4,12 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
@@ -218,6 +221,26 @@
     assert {lease for _, lease, _, _ in record.effects} == {"r#0", "r#1"}
 
 
+def test_a_play_that_is_told_to_end_leaves_no_process_behind(tmp_path: Path) -> None:
+    """Found by hand: 30 balancers went on when their hunt was ended."""
+    path = tmp_path / "plan.toml"
+    path.write_text(Plan(3, ("60000",), name="long").toml(), encoding="utf-8")
+    command = [sys.executable, "-m", "switchhub", "lab", "faults", "run", str(path)]
+    lab = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    children = Path(f"/proc/{lab.pid}/task/{lab.pid}/children")
+    found: list[str] = []
+    ends = time.monotonic() + 30.0
+    while len(found) < 3 and time.monotonic() < ends:
+        found = children.read_text().split()
+        time.sleep(0.05)
+    lab.send_signal(signal.SIGTERM)
+    lab.wait(30.0)
+    assert len(found) >= 3
+    while any(Path(f"/proc/{pid}").exists() for pid in found) and time.monotonic() < ends + 10.0:
+        time.sleep(0.05)
+    assert not [pid for pid in found if Path(f"/proc/{pid}").exists()]
+
+
 def test_with_its_only_seeds_dead_at_the_start_it_serves_and_joins_later() -> None:
     (record,) = play_all([SEEDLESS], 1)
     assert not record.faults(), failed(record)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -61,15 +62,7 @@
 class NoWait(Voter):
     """Votes at once after it has forgotten."""
 
-    def __init__(
-        self,
-        me: Who,
-        terms: Terms,
-        now: float,
-        floor: int | None = None,
-        files: bool = False,
-        same: bool = True,
-    ) -> None:
+    def __init__(self, me: Who, terms: Terms, now: float, *known: Any) -> None:
         super().__init__(me, terms, now, 0)
         self._learn_at = now
 
@@ -236,16 +229,22 @@
             assert found.fault is not None and "hold" in found.fault, found
 
 
-def test_a_counted_name_has_so_many_holders_and_each_a_slot_of_its_own() -> None:
-    """Five want it, three may; what is let go is taken up; one whose file allows more gets no further."""
+def _counted(most: int, count: int) -> tuple[Table, Terms, dict[str, Leases]]:
+    """Voters that know of `r`, which so many may hold, and balancers."""
     table = Table()
-    terms = replace(table.terms, counted=(("r", 3),))
+    terms = replace(table.terms, counted=(("r", most),))
     for name in table.terms.voters:
         table.parts[name] = Voter(_who(name), terms, -10.0, 0)
         table.parts[name].turn(0.0)
-    nodes = {f"b{n}": Leases(_who(f"b{n}"), terms, n, 0.0) for n in range(5)}
-    nodes["b0"].terms = nodes["b0"].asker.terms = replace(terms, counted=(("r", 9),))
+    nodes = {f"b{n}": Leases(_who(f"b{n}"), terms, n, 0.0) for n in range(count)}
     table.parts |= nodes
+    return table, terms, nodes
+
+
+def test_a_counted_name_has_so_many_holders_and_each_a_slot_of_its_own() -> None:
+    """Five want it, three may; what is let go is taken up; one whose file allows more gets no further."""
+    table, terms, nodes = _counted(3, 5)
+    nodes["b0"].terms = nodes["b0"].asker.terms = replace(terms, counted=(("r", 9),))
     for node in nodes.values():
         node.want("r", 0.0)
 
@@ -269,13 +268,7 @@
 
 
 def test_a_slot_that_is_handed_on_is_its_heirs_at_once() -> None:
-    table = Table()
-    terms = replace(table.terms, counted=(("r", 2),))
-    for name in table.terms.voters:
-        table.parts[name] = Voter(_who(name), terms, -10.0, 0)
-        table.parts[name].turn(0.0)
-    nodes = {f"b{n}": Leases(_who(f"b{n}"), terms, n, 0.0) for n in range(4)}
-    table.parts |= nodes
+    table, _, nodes = _counted(2, 4)
     for node in nodes.values():
         node.want("r", 0.0)
     table.run(3.0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,6 +20,7 @@
 from switchhub.membership.messages import Ack, Indirect, Message, Nack, News, Ping, Source, State, Whole
 from switchhub.operator_file import Leases, OperatorError, Peers, read
 from switchhub.peers.form import DATAGRAM, VERSION, FormError, pack, unpack
+from switchhub.peers.hold import Hold
 from switchhub.peers.node import Node
 
 ROOT = Path(__file__).parent.parent
@@ -200,3 +201,22 @@
                 node.close()
 
     asyncio.run(play())
+
+
+def test_whoever_waits_for_a_hold_is_not_left_waiting_where_it_goes_on_under_the_same_token() -> None:
+    """Over by the clock for a moment, then confirmed by a late answer: nobody is told, nothing changed."""
+
+    async def play() -> None:
+        now: list[int | None] = [7]
+        hold = Hold("d", lambda: now[0], lambda heir: True)
+        hold.tell(7)
+        await asyncio.sleep(0)
+        now[0] = None
+        waits = asyncio.create_task(hold.won())
+        await asyncio.sleep(0)
+        assert not waits.done()
+        now[0] = 7
+        hold.tell(7)
+        assert await asyncio.wait_for(waits, 5.0) == 7
+
+    asyncio.run(play())
