Plays end at SIGTERM and the test of an interrupt holds where SIGINT is ignored

A run of the live tests from a shell's background failed in `test_an_interrupt_ends_every_process`: such processes have SIGINT ignored, their children inherit that, and the interrupt was never heard (it passes in the foreground, three times of three, and fails again in the background). The test sets the signal back for its child. For the same cause the lab's SIGTERM, which raised SIGINT, would have been heard by nobody there; it interrupts directly now.

Measured: both tests in the background and in the foreground.

--- a/switchhub/lab/cli.py
+++ b/switchhub/lab/cli.py
@@ -395,7 +395,7 @@
     """The exit status."""
     told = _parser().parse_args(arguments)
     # Danger: ended by a signal that nobody hears, a play would leave its processes behind.
-    signal.signal(signal.SIGTERM, lambda number, frame: signal.raise_signal(signal.SIGINT))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         return VERBS[told.verb](told)
     except ScenarioError as error:
--- a/tests/lab/test_live.py
+++ b/tests/lab/test_live.py
@@ -100,7 +100,14 @@
 def test_an_interrupt_ends_every_process(tmp_path: Path) -> None:
     env = {**os.environ, "TMPDIR": str(tmp_path)}
     command = [sys.executable, "-m", "switchhub", "lab", "run", "lab/scenarios/calm.toml", "--engine", "live"]
-    process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+    process = subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env=env,
+        stderr=subprocess.PIPE,
+        # Danger: what a shell starts in the background has SIGINT ignored, and so have its children.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+    )
     try:
         until = time.monotonic() + 20
         while len(left_behind(tmp_path)) < 7 and time.monotonic() < until:  # itself, three parts, balancers
