Discovery: a silent call is made anew at once, waits fit the 6 s that are allowed

At fault: discovery.WAIT_MS 10 s and ANSWER_WITHIN 2.2 s past it, and brain._on_roster_failed, whose wait began anew with the failures of the start and grew to 30 s, while a change counts as told 6 s after discovery can be reached. Change: watches wait 1 to 2 s, by lot, and a new one 0.25 s; a call that falls silent is made anew at once, of two the module says when. The test that wanted waits over 5 s after refused answers stood against the 6 s: it wants growth and a bound now. Tests seen to fail before: five in test_herd.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -36,7 +36,8 @@
 STRAIN = 1 / 3  # part of the shortest message aim that tells strain
 LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
-ROSTER_TIMER, ASK_AGAIN = 1, 1500.0  # the only timer's token: ask for the roster again, so late at first
+ROSTER_TIMER, ASK_AGAIN, ASK_MOST = 1, 1500.0, 4000.0  # the only timer: ask again, so late at first, at most
+QUEUED, TRIES = 900.0, 3  # a call that fails after so long was in a queue that all fill; borne so often
 MOVE_PACE = 0.07  # part of its connections that a balancer moves in a second at most
 MOVE_SPEND, THIN_PACE = 0.0015, 0.3  # what thin ones may spend on moves in a second; part they move at most
 OVER_SHARE_PART = 0.9  # part of a limit that is open to tenants over their share
@@ -104,7 +105,8 @@
         self._mean_hint = 0.0
         self._setup_time = self._setup_spread = 0.0  # of set-ups that worked: mean, and mean deviation
         self._least_aim = min((each.message_aim for each in settings.classes), default=0.0)
-        self._watching, self._asks_failed = False, 0
+        self._watching, self._asks_failed, self._queued = False, 0, False
+        self._asked_at = 0.0  # when the roster was asked for last, or told something
         self._strain_at = -math.inf  # when a server told of strain last
         self._thin_pace = MOVE_SPEND / max(settings.move_price, MOVE_SPEND / THIN_PACE)
         self._move_credit, self._move_at = math.inf, 0.0  # moves that may go, as counted then
@@ -115,14 +117,14 @@
             RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
             DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
-            TimerFired: lambda _event: self._out.append(WatchRoster()),
+            TimerFired: self._on_timer,
             Learnt: self._on_learnt, Drained: self._on_drained, Restored: self._on_restored,
             ProbeAnswered: lambda _event: None,  # none is sent: told delays say the same, for nothing
         }
 
     def start(self, now: float) -> list[Action]:
         """The first actions, before any event."""
-        self._now = now
+        self._now = self._asked_at = now
         return [WatchRoster()] if self._settings.must_ask_roster else []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -521,9 +523,14 @@
 
     # The roster and notes.
 
+    def _on_timer(self, _event: TimerFired) -> None:
+        self._asked_at = self._now
+        self._out.append(WatchRoster())
+
     def _on_roster(self, event: RosterChanged) -> None:
+        self._asked_at = self._now
         if event.kind not in (RosterKind.REMEMBERED, RosterKind.LEAVING):
-            self._watching, self._asks_failed = True, 0
+            self._watching, self._asks_failed, self._queued = True, 0, False
         if event.kind not in (RosterKind.CHANGES, RosterKind.LEAVING):
             named = {server.id for server in event.servers}
             for node in self._nodes.values():
@@ -548,13 +555,20 @@
 
     def _on_roster_failed(self, _event: RosterFailed) -> None:
         """Danger: discovery is one queue for all; calls given up still fill it, and repeated at once none is
-        served again. Each failure doubles the wait, by lot, and stays under what counts as told."""
+        served again. Nor while most of that queue is made of calls given up: after a failure that took long
+        the next call waits that out, and from the fourth on each doubles the wait, by lot. But what it knows
+        counts as told 6 s after it can be reached: a failed call, a first wait and the next call fit."""
+        self._queued |= not self._watching and self._now - self._asked_at >= QUEUED
         self._asks_failed += 1
         if self._watching or self._asks_failed == 1:
             self._out.append(Note("roster lost, asking again"))
         self._watching = False
-        wait = min(ASK_AGAIN * 2 ** min(self._asks_failed - 1, 9), 3 * self._settings.ask_within)
-        self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.2, 1.0)))
+        failed = min(self._asks_failed, 9)
+        if self._queued and failed > TRIES:
+            wait = min(ASK_MOST * 2 ** (failed - 2), max(ASK_MOST, 3 * self._settings.ask_within))
+        else:
+            wait = ASK_MOST if self._queued else min(ASK_AGAIN * 2 ** (failed - 1), ASK_MOST)
+        self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.3, 1.0)))
 
     def _on_load(self, event: LoadTold) -> None:
         """Danger: a hint is rough and usual; where the present load is told, that counts in its place."""
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -8,6 +8,10 @@
 the start the list as known, and its version, came with the configuration, so the first call is the watch.
 Danger: discovery is one queue for all balancers. After most of them were killed, a whole list and then a
 watch from each is twice the work, and a call that its caller gives up is still worked through in its turn.
+
+Danger: a watch that has fallen silent looks like one with no news, and what it misses counts as told 6 s
+later. So a call waits for a short time only, goes on at once when that is over, and one whose answer does not
+come then is opened anew at once. Going on with a watch takes no place in the queue; a new one does.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 import json
 import socket
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import httptools
@@ -26,10 +31,12 @@
 from switchhub.net.config import Address, Config, Entry, Listing, ListingError, checked, parse_listing
 from switchhub.net.counters import Counters
 
-WAIT_MS = 10_000  # how long a watch may wait for news
-ANSWER_WITHIN = 2.2  # seconds past that wait after which it counts as silent; by itself it gives up at 2
+FIRST_WAIT_MS = 250  # how long a new watch may wait for news: whether it is heard at all is to be known soon
+WAIT_MS = 2000  # the same for one that goes on, by lot between half of it and all
+ANSWER_WITHIN = 2.2  # seconds past the wait that a new call may spend in discovery's queue
+GOES_ON_WITHIN = 0.5  # the same for a watch that goes on, which has its place: then it has fallen silent
 CONNECT_WITHIN = 1.0
-ANSWER_MAX = 8 << 20
+ANSWER_MAX = 2 << 20  # bytes of an answer: ten thousand servers
 
 
 class DiscoveryError(Exception):
@@ -65,6 +72,8 @@
         self._moved = False
         self._sock: socket.socket | None = None
         self._version: int | None = config.known.version  # none yet of a discovery that was moved to
+        self._heard = False  # the last call was answered: the next one goes on with its watch
+        self._lot = Random(config.seed)  # keeps the watches of all balancers from expiring in step
         self._addresses: dict[str, Address] = {}
         self._ready: set[str] = set()
         self._listed: dict[str, Entry] = {}
@@ -147,9 +156,22 @@
             self._close()
 
     async def _follow(self) -> None:
-        """Call after call, until one fails."""
+        """Call after call, until one fails. One that falls silent is made anew at once, for discovery itself
+        gives a call up before that; of two in a row the module says when to call again."""
+        self._heard = silent = False
         while True:
-            listing = await self._call()
+            try:
+                listing = await self._call()
+            except TimeoutError:
+                if silent:
+                    raise
+                logger.warning("discovery: silent, called anew")
+                self._counters.add("discovery.silent")
+                self._close()
+                self._heard, silent = False, True
+                continue
+            silent = False
+            self._heard = True
             self._version = listing.version
             self._apply(listing, RosterKind.WHOLE if listing.full else RosterKind.CHANGES)
 
@@ -200,11 +222,11 @@
             self._sock.setblocking(False)
             async with asyncio.timeout(CONNECT_WITHIN):
                 await asyncio.get_running_loop().sock_connect(self._sock, self._at)
+        wait_ms, within = self._patience()
         host, port = self._at
-        query = "" if self._version is None else f"?index={self._version}&wait={WAIT_MS}"
-        wait = 0.0 if self._version is None else WAIT_MS / 1000  # the whole list comes at once or not at all
+        query = "" if self._version is None else f"?index={self._version}&wait={wait_ms}"
         request = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        async with asyncio.timeout(wait + ANSWER_WITHIN):
+        async with asyncio.timeout(wait_ms / 1000 + within):
             await asyncio.get_running_loop().sock_sendall(self._sock, request.encode())
             status, keep, body = await self._answer(self._sock)
         if not keep:
@@ -217,6 +239,14 @@
             raise DiscoveryError(f"not JSON: {error}") from None
         return checked(parse_listing(data, self._config.zones, self._config.kinds), self._version)
 
+    def _patience(self) -> tuple[int, float]:
+        """Milliseconds that the next call may wait for news, and seconds past that for its answer."""
+        if self._version is None:  # the whole list comes at once or not at all
+            return 0, ANSWER_WITHIN
+        if not self._heard:
+            return FIRST_WAIT_MS, ANSWER_WITHIN
+        return round(WAIT_MS * self._lot.uniform(0.5, 1.0)), GOES_ON_WITHIN
+
     async def _answer(self, sock: socket.socket) -> tuple[int, bool, bytearray]:
         answer = _Answer()
         parser = httptools.HttpResponseParser(answer)
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from random import Random
 
+import pytest
+
 from switchhub.decision.brain import Balancer
 from switchhub.decision.interface import (
     RosterChanged,
@@ -21,6 +23,7 @@
 from tests.rig import Server, running
 from tests.world import World, make_settings, server
 
+TOLD = 6000.0  # milliseconds after which what discovery has counts as told, from its return or a silence
 WORK, PATIENCE, BOUND = 125.0, 2000.0, 24  # milliseconds a call takes, a caller waits; calls that may wait
 
 
@@ -92,18 +95,69 @@
 
 
 def test_answers_that_are_refused_leave_the_wait_growing() -> None:
-    """Danger: who leaves is heard from a refused answer too; were it good news, the wait began anew."""
+    """Danger: who leaves is heard from a refused answer too; were it good news, the wait began anew. And what
+    was refused counts as told 6 s later, so it may not grow as it does in a queue."""
     world = World()
     world.roster(server("a"), server("b"))
-    longest: list[float] = []
+    waits: list[float] = []
     for _ in range(8):
         world.roster(server("b", state=State.DRAINING), kind=RosterKind.LEAVING)
         world.feed(RosterFailed())
-        longest.append(world.timers[-1][0] - world.now)
-    assert max(longest) > 5000.0
+        waits.append(world.timers[-1][0] - world.now)
+        world.wait(waits[-1])
+    assert max(waits[2:]) > 3000.0
+    assert max(waits) <= TOLD - PATIENCE
     assert world.stand() == "a", "rule 3, and who is not named stays"
 
 
+def heard_after(outage: float, held: float, seed: int) -> float:
+    """How long after discovery's return a balancer has its list, where a call ends `held` later while it is
+    out and is answered `PATIENCE` later, a full queue's time, from then on."""
+    balancer = Balancer(make_settings(), seed)
+    balancer.start(0.0)
+    balancer.handle(0.0, RosterChanged(RosterKind.WHOLE, (server("a"),)))
+    now = Random(seed).uniform(0.0, PATIENCE)  # its watch ends as discovery goes
+    while now < outage:
+        now += held
+        (timer,) = [each for each in balancer.handle(now, RosterFailed()) if isinstance(each, SetTimer)]
+        now += timer.delay
+        balancer.handle(now, TimerFired(timer.token))
+    return now + PATIENCE - outage
+
+
+@pytest.mark.parametrize(("held", "longest"), [(0.0, 30_000.0), (50.0, 30_000.0), (PATIENCE, 10_000.0)])
+def test_what_discovery_knows_at_its_return_is_heard_before_it_counts_as_told(
+    held: float, longest: float
+) -> None:
+    """Danger: the wait doubled through the outage, and 6 s after the return everything counts as told. Where
+    calls are held until a queue turns them away the wait must go on growing, past 10 s of them, see above."""
+    for outage in (3000.0, 5000.0, 8000.0, 10_000.0, 30_000.0):
+        if outage <= longest:
+            assert max(heard_after(outage, held, seed) for seed in range(40)) <= TOLD + held
+
+
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told(
+    tmp_path: Path,
+) -> None:
+    """Found on calm+brink: a watch waited 10 s and 2.2 s more, the next call came up to 3 s after that."""
+
+    async def play() -> None:
+        servers = [Server("a"), Server("b")]
+        async with running(tmp_path, *servers) as (program, discovery):
+            async with asyncio.timeout(10):
+                while len(discovery.asked) < 2:  # the watch is heard
+                    await asyncio.sleep(0.01)
+                discovery.mute = 1
+                while discovery.mute:
+                    await asyncio.sleep(0.01)
+            async with asyncio.timeout((TOLD - PATIENCE) / 1000):  # a full queue's time to spare
+                await discovery.change("b", "Terminating")
+                await program.logged("server b draining")
+            assert any("discovery: silent, called anew" in line for line in program.log)
+
+    asyncio.run(play())
+
+
 def test_the_first_call_is_the_watch_from_the_version_known(tmp_path: Path) -> None:
     """Danger: a whole list, then a watch, from every balancer that was killed: twice the calls."""
 
