A list that breaks off, never ends or is no JSON is heard on who leaves by it

Seen by reading (issue: a server said to leave by a readable part is left at once): an answer cut off, endless or spoilt was dropped whole, and an endless one held the call for its whole time. Ruled out: parsed answers with odd entries, these were heard already (ListingError.leaving).

--- a/switchhub/net/config.py
+++ b/switchhub/net/config.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
+import re
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
@@ -17,6 +19,15 @@
 from switchhub.wirehost.settings import read_settings
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
+_OBJECT = re.compile(rb"\{[^{}]*\}")  # an entry, wherever it stands; it has no objects inside
+UNREADABLE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)  # odd JSON, at worst
 Address = tuple[str, int]
 
 
@@ -113,15 +124,26 @@
         for each in data["servers"]:
             try:
                 entries.append(_entry(each, zones, kinds))
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except UNREADABLE as error:
                 reason = reason or f"{type(error).__name__}: {error}"
         if not reason:
             return Listing(int(data["version"]), bool(data["full"]), tuple(entries))
-    except (KeyError, TypeError, ValueError) as error:
+    except UNREADABLE as error:
         reason = f"{type(error).__name__}: {error}"
     raise ListingError(f"not a list of servers: {reason}", _leaving(entries))
 
 
+def leaving_in(
+    body: bytes | bytearray, zones: Mapping[str, int], kinds: Mapping[str, int]
+) -> tuple[Entry, ...]:
+    """Who drains or is gone by those entries that can be read of an answer that can't be read as a whole."""
+    entries: list[Entry] = []
+    for each in _OBJECT.finditer(body):
+        with contextlib.suppress(*UNREADABLE):
+            entries.append(_entry(json.loads(each[0]), zones, kinds))
+    return _leaving(entries)
+
+
 def checked(listing: Listing, version: int | None) -> Listing:
     """The answer to a call from this version, or `ListingError`.
 
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -28,7 +28,16 @@
 
 from switchhub.decision.facade import Facade, Roster, RosterLost
 from switchhub.decision.interface import RosterKind, State
-from switchhub.net.config import Address, Config, Entry, Listing, ListingError, checked, parse_listing
+from switchhub.net.config import (
+    Address,
+    Config,
+    Entry,
+    Listing,
+    ListingError,
+    checked,
+    leaving_in,
+    parse_listing,
+)
 from switchhub.net.counters import Counters
 
 FIRST_WAIT_MS = 250  # how long a new watch may wait for news: whether it is heard at all is to be known soon
@@ -36,6 +45,7 @@
 ANSWER_WITHIN = 2.2  # seconds past the wait that a new call may spend in discovery's queue
 GOES_ON_WITHIN = 0.5  # the same for a watch that goes on, which has its place: then it has fallen silent
 CONNECT_WITHIN = 1.0
+ENDS_WITHIN = 0.7  # seconds from the first byte of a list to its last
 ANSWER_MAX = 2 << 20  # bytes of an answer: ten thousand servers
 
 
@@ -44,13 +54,17 @@
 
 
 class _Answer:
-    """Collects one HTTP answer."""
+    """Collects one HTTP answer; once it has begun it has a short time to end."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: asyncio.Timeout) -> None:
+        self._limit = limit
         self.body = bytearray()
         self.done = False
 
     def on_body(self, body: bytes) -> None:
+        if not self.body:
+            ends = asyncio.get_running_loop().time() + ENDS_WITHIN
+            self._limit.reschedule(min(ends, self._limit.when() or ends))
         self.body += body
         if len(self.body) > ANSWER_MAX:
             raise DiscoveryError("answer too long")
@@ -226,19 +240,30 @@
         host, port = self._at
         query = "" if self._version is None else f"?index={self._version}&wait={wait_ms}"
         request = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        async with asyncio.timeout(wait_ms / 1000 + within):
-            await asyncio.get_running_loop().sock_sendall(self._sock, request.encode())
-            status, keep, body = await self._answer(self._sock)
+        limit = asyncio.timeout(wait_ms / 1000 + within)
+        answer = _Answer(limit)
+        try:
+            async with limit:
+                await asyncio.get_running_loop().sock_sendall(self._sock, request.encode())
+                status, keep = await self._read(self._sock, answer)
+        except (TimeoutError, OSError, DiscoveryError, httptools.HttpParserError) as error:
+            if not answer.body:
+                raise  # Danger: what broke off, or never ends, may have told of a drain before that
+            raise self._unread(f"broke off: {type(error).__name__}: {error}", answer.body) from None
         if not keep:
             self._close()
         if status != 200:
             raise DiscoveryError(f"status {status}")
         try:
-            data: Any = json.loads(body)
-        except ValueError as error:
-            raise DiscoveryError(f"not JSON: {error}") from None
+            data: Any = json.loads(answer.body)
+        except (ValueError, RecursionError) as error:
+            raise self._unread(f"not JSON: {error}", answer.body) from None
         return checked(parse_listing(data, self._config.zones, self._config.kinds), self._version)
 
+    def _unread(self, reason: str, body: bytearray) -> ListingError:
+        """An answer that can't be read as a whole."""
+        return ListingError(reason, leaving_in(body, self._config.zones, self._config.kinds))
+
     def _patience(self) -> tuple[int, float]:
         """Milliseconds that the next call may wait for news, and seconds past that for its answer."""
         if self._version is None:  # the whole list comes at once or not at all
@@ -247,8 +272,8 @@
             return FIRST_WAIT_MS, ANSWER_WITHIN
         return round(WAIT_MS * self._lot.uniform(0.5, 1.0)), GOES_ON_WITHIN
 
-    async def _answer(self, sock: socket.socket) -> tuple[int, bool, bytearray]:
-        answer = _Answer()
+    async def _read(self, sock: socket.socket, answer: _Answer) -> tuple[int, bool]:
+        """Read an answer to its end: its status, and whether the connection may be used again."""
         parser = httptools.HttpResponseParser(answer)
         buffer = memoryview(bytearray(16384))
         while not answer.done:
@@ -256,7 +281,7 @@
             if not count:
                 raise DiscoveryError("the connection ended")
             parser.feed_data(buffer[:count])
-        return parser.get_status_code(), parser.should_keep_alive(), answer.body
+        return parser.get_status_code(), parser.should_keep_alive()
 
     def _close(self) -> None:
         if self._sock is not None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -112,6 +112,7 @@
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
         self.bodies: list[bytes] = []  # what the next calls are answered, as it is; nothing: a reset
+        self.keeps = False  # the connection stays open after them
         self.told = 0  # version that was written to somebody last
         self.asked: list[str] = []  # the calls' queries
 
@@ -168,6 +169,8 @@
                         return reset(writer)
                     writer.write(body)
                     await writer.drain()
+                    if self.keeps:
+                        continue
                     return writer.close()
                 if self.fails:
                     self.fails -= 1
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -112,6 +112,38 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("shape", ["cut", "endless", "spoilt", "deep"])
+def test_who_leaves_by_a_part_that_can_be_read_is_left_at_once(tmp_path: Path, shape: str) -> None:
+    """Danger: what broke off, never ends or is no JSON has told of the drain all the same."""
+
+    async def play() -> None:
+        servers = [Server("a"), Server("b"), Server("c")]
+        async with running(tmp_path, *servers) as (program, discovery):
+            discovery.states["b"] = "Terminating"
+            body = json.dumps({**discovery.listing(), "version": 9}, indent=4).encode()
+            half = body[: body.rindex(b'"id"')]
+            discovery.bodies.append(
+                {
+                    "cut": http(half, len(body)),
+                    "endless": http(half, 10 * len(body)),
+                    "spoilt": http(half + b"\x00\xff"),
+                    "deep": http(half + b"[" * 100_000),
+                }[shape]
+            )
+            discovery.keeps = shape == "endless"
+            await discovery.change("a", "Ready")
+            await program.logged("server b draining")
+            assert "" not in discovery.asked, "heard from the part"
+            async with asyncio.timeout(10):
+                while "" not in discovery.asked:  # everything is asked for, in time
+                    await asyncio.sleep(0.01)
+            while (await program.up()).receipt.startswith(b"UP a-"):
+                pass  # the others of the last good list stay
+            assert servers[1].opened == []
+
+    asyncio.run(play())
+
+
 def test_an_entry_that_can_not_be_read_hides_no_other() -> None:
     servers = [
         {"id": "a", "addr": "127.0.0.1:1", "state": "Odd"},
