Failures of one discovery do not put off calls to the next, nor few balancers' calls

At fault: brain._on_roster_failed counted failures over the move, and doubled the wait of one of six balancers as if they were a fleet that fills a queue. Change: RosterMoved (facade.moved, from Discovery.move) begins anew; a doubled wait is never longer than 250 ms for each balancer of the fleet. Two tests seen to fail before.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -19,8 +19,8 @@
 from switchhub.decision.interface import (
     Action, Attempt, ClientLeft, ConnectionAdopted, ConnectionUp, DelayTold, Drained, Event, Fail, Learnt,
     LoadTold, Move, Note, Outcome, ProbeAnswered, Refuse, Repeat, Request, RequestArrived, Restored, Result,
-    RosterChanged, RosterFailed, RosterKind, Scope, Server, ServerLearnt, Settings, SetTimer, State,
-    TimerFired, WatchRoster,
+    RosterChanged, RosterFailed, RosterKind, RosterMoved, Scope, Server, ServerLearnt, Settings, SetTimer,
+    State, TimerFired, WatchRoster,
 )
 
 HINT_MEMORY = 1 / 64  # weight of the newest hint in the mean that stands in for a missing one
@@ -37,6 +37,7 @@
 LIMIT_HOLD, LIMIT_GROWTH, REFILL = 1500.0, 0.02, 0.1  # a limit stands so long, then grows so much a second
 LIMIT_CUT, STALL = 0.2, 1000.0  # part of the limit that news of missed aims takes; a delay takes all of it
 ROSTER_TIMER, ASK_AGAIN, ASK_MOST = 1, 1500.0, 4000.0  # the only timer: ask again, so late at first, at most
+ASK_WORK = 250.0  # what a call takes discovery, at worst
 QUEUED, TRIES = 900.0, 3  # a call that fails after so long was in a queue that all fill; borne so often
 MOVE_PACE = 0.07  # part of its connections that a balancer moves in a second at most
 MOVE_SPEND, THIN_PACE = 0.0015, 0.3  # what thin ones may spend on moves in a second; part they move at most
@@ -117,7 +118,7 @@
             RequestArrived: self._on_request, ConnectionAdopted: self._on_adopted, ConnectionUp: self._on_up,
             Outcome: self._on_outcome, ClientLeft: self._on_left, LoadTold: self._on_load,
             DelayTold: self._on_delay, RosterChanged: self._on_roster, RosterFailed: self._on_roster_failed,
-            TimerFired: self._on_timer,
+            RosterMoved: self._on_roster_moved, TimerFired: self._on_timer,
             Learnt: self._on_learnt, Drained: self._on_drained, Restored: self._on_restored,
             ProbeAnswered: lambda _event: None,  # none is sent: told delays say the same, for nothing
         }
@@ -553,6 +554,10 @@
             conn.moving = True
             self._out.append(Move(conn.request.id))
 
+    def _on_roster_moved(self, _event: RosterMoved) -> None:
+        """Danger: failures of one queue put off the calls to another, past what it counts as having told."""
+        self._watching, self._asks_failed, self._queued, self._asked_at = False, 0, False, self._now
+
     def _on_roster_failed(self, _event: RosterFailed) -> None:
         """Danger: discovery is one queue for all; calls given up still fill it, and repeated at once none is
         served again. Nor while most of that queue is made of calls given up: after a failure that took long
@@ -564,8 +569,9 @@
             self._out.append(Note("roster lost, asking again"))
         self._watching = False
         failed = min(self._asks_failed, 9)
-        if self._queued and failed > TRIES:
-            wait = min(ASK_MOST * 2 ** (failed - 2), max(ASK_MOST, 3 * self._settings.ask_within))
+        if self._queued and failed > TRIES:  # no longer than all would take, one after another
+            most = min(3 * self._settings.ask_within, ASK_WORK * self._settings.fleet_size)
+            wait = min(ASK_MOST * 2 ** (failed - 2), max(ASK_MOST, most))
         else:
             wait = ASK_MOST if self._queued else min(ASK_AGAIN * 2 ** (failed - 1), ASK_MOST)
         self._out.append(SetTimer(ROSTER_TIMER, wait * self._rng.uniform(0.3, 1.0)))
--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -200,6 +200,10 @@
         """It takes its part again."""
         self._handle(now, api.Restored())
 
+    def moved(self, now: float) -> None:
+        """The list is asked for elsewhere from now on."""
+        self._handle(now, api.RosterMoved())
+
     def _worth_telling(self, now: float, server: str, delay: float) -> bool:
         """As the wire tells it: once a second while long, and once more when it no longer is."""
         told = self._told.get(server)
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -207,6 +207,10 @@
     """A roster call failed, or the subscription is lost; the held list stands."""
 
 
+class RosterMoved(NamedTuple):
+    """The roster is asked for elsewhere from now on, and is at once; the held list stands until then."""
+
+
 class TimerFired(NamedTuple):
     """A timer that the balancer has set is due."""
 
@@ -260,6 +264,7 @@
     | Outcome
     | ClientLeft
     | RosterChanged
+    | RosterMoved
     | RosterFailed
     | TimerFired
     | ProbeAnswered
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -143,6 +143,7 @@
         self._at, self._version, self._moved = address, None, True
         if self._watch is not None:
             self._watch.cancel()
+        self._facade.moved(self._clock())
         self._asked.set()
 
     async def run(self) -> None:
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -15,6 +15,7 @@
     RosterChanged,
     RosterFailed,
     RosterKind,
+    RosterMoved,
     SetTimer,
     State,
     TimerFired,
@@ -158,6 +159,32 @@
     asyncio.run(play())
 
 
+def queued(world: World, times: int) -> list[float]:
+    """The waits after so many calls that were held for a queue's time each."""
+    waits: list[float] = []
+    for _ in range(times):
+        world.now += PATIENCE
+        world.feed(RosterFailed())
+        waits.append(world.timers[-1][0] - world.now)
+        world.wait(waits[-1])
+    return waits
+
+
+def test_failures_of_one_discovery_do_not_put_off_calls_to_the_next() -> None:
+    """Found on herd+brink: after SIGHUP the first call was refused, and the next one came over 15 s later."""
+    world = World(make_settings(fleet_size=100))
+    assert max(queued(world, 7)) > 10_000.0, "one queue for many"
+    world.feed(RosterMoved())
+    world.now += 20.0
+    world.feed(RosterFailed())
+    assert world.timers[-1][0] - world.now <= 1500.0
+
+
+def test_a_few_balancers_can_not_fill_a_queue_and_need_not_wait_as_if() -> None:
+    """Danger: with six of them a wait doubled to 16 s, and six calls are worked through in a second."""
+    assert max(queued(World(make_settings(fleet_size=6)), 9)) <= TOLD - PATIENCE
+
+
 def test_the_first_call_is_the_watch_from_the_version_known(tmp_path: Path) -> None:
     """Danger: a whole list, then a watch, from every balancer that was killed: twice the calls."""
 
