A missing hint counts as the mean load told, so a cold server's budget is used up

Ruled out: the part of each balancer (peers and power were as they should be) and the rounding by lot (luck x 0 is 0). At fault: brain._load_of, where a missing hint was the mean of hints seen, 0 if there are none, and _push of that. Change: where hints are missing the mean is that of the loads told; with neither each connection counts as 1.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -191,12 +191,16 @@
         self._hold(conn, node)
 
     def _load_of(self, request: Request) -> int:
-        """The hint, or for a missing one the mean hint lately seen."""
+        """The hint, or for a missing one the mean lately seen of hints, or of the loads told in their place.
+        Danger: where clients send none, sums of nothing never use up a cold server's budget."""
         if request.hint is None:
-            return round(self._mean_hint)
-        self._mean_hint += (HINT_MEMORY if self._mean_hint else 1.0) * (request.hint - self._mean_hint)
+            return max(round(self._mean_hint), 1)
+        self._learn_hint(request.hint)
         return round(request.hint)
 
+    def _learn_hint(self, load: float) -> None:
+        self._mean_hint += (HINT_MEMORY if self._mean_hint else 1.0) * (load - self._mean_hint)
+
     def _hold(self, conn: _Conn, node: _Node) -> None:
         conn.node = node
         node.held[conn.request.id] = conn
@@ -581,5 +585,7 @@
         conn = self._live(event.request, event.attempt)
         if conn is not None and conn.node is not None:
             load = round(event.load)
+            if conn.request.hint is None:
+                self._learn_hint(event.load)
             conn.node.total += load - conn.load
             conn.load = load
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
-from switchhub.decision.interface import Attempt, Move, Refuse, Result, Server
+from switchhub.decision.interface import Attempt, LoadTold, Move, Refuse, Result, Server
 from tests.world import World, make_settings, server
 
 FLEET = 200
@@ -83,6 +85,28 @@
     assert 0 < sent <= allowed
 
 
+@pytest.mark.parametrize("told", [None, 20_000.0])
+def test_cold_budget_holds_where_clients_send_no_hints(told: float | None) -> None:
+    """Found on another customer's throng: without hints each set-up counted as nothing, and 32 balancers sent
+    one cold server 66 within the window. Loads may be told in place of hints, or nothing at all."""
+    balancers, names = 32, [f"s{number}" for number in range(10)]
+    sent = 0
+    for seed in range(balancers):
+        world = World(make_settings(fleet_size=balancers, zone=9), seed=seed, now=9000.0)
+        world.roster(*(server(name) for name in names), server("new", born=world.now - 3000.0))
+        for number in range(15):
+            request = world.adopt(names[(seed + number) % 10], None)
+            if told is not None:
+                world.feed(LoadTold(request, 0, world.where(request), told))
+        for _ in range(20):
+            world.wait(50.0)
+            world.ask(None)
+            sent += sum(action.server == "new" for action in world.did(Attempt))
+    peer = balancers * 35 / 10  # connections that a warm server may come to hold
+    allowed = 2.5 * 0.6 * peer * 2000.0 / 8000.0  # multiple x capacity now x window / warm-up
+    assert 0 < sent <= allowed + 2 * math.sqrt(allowed) + 2
+
+
 def test_a_fleet_of_which_most_is_new_uses_what_the_new_can_do_and_pushes_none_over() -> None:
     """Danger: filled from nothing on, six new servers of ten leave everybody to the four that are warm."""
     warm, new = [f"w{number}" for number in range(4)], [f"n{number}" for number in range(6)]
