The list is watched from the start, also where it is pushed

No call to discovery stood in any log. At fault: Discovery.run waits for the module's wish, and Balancer.start wishes for nothing where Settings.must_ask_roster is false: on the simulator's wire pushed lists come by themselves, on sockets only by a watch. Test seen to fail before.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.rig import Discovery, Server, running
+from tests.rig import Discovery, Server, running, settings
 
 
 def test_the_watch_moves_to_the_new_discovery_and_connections_stand(tmp_path: Path) -> None:
@@ -118,3 +118,16 @@
                 await program.logged("server b draining")
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_the_list_is_watched_from_the_start_also_where_it_is_pushed(tmp_path: Path, mode: str) -> None:
+    """Found on a variant of a site: pushed lists never reached a balancer that had not to ask for them."""
+
+    async def play() -> None:
+        told = settings(Discovery=mode)
+        async with running(tmp_path, Server("a"), Server("b"), told=told, fails=1) as (program, discovery):
+            await discovery.change("b", "Terminating")
+            await program.logged("server b draining")
+
+    asyncio.run(play())
