--- a/deploy/sites/lay.py
+++ b/deploy/sites/lay.py
@@ -1,10 +1,10 @@
-"""Lays a whole site for the operators' bench: a customer's file with a variant's changes, what lies beside it.
+"""Lays a whole site for the operators' bench: a customer's file with a variant's changes, its neighbours too.
 
     python deploy/sites/lay.py deploy/sites/harbour.toml CUSTOMER.toml laid
 
-Owns: the folder it is told to fill. Must never: keep a word or a figure of a customer's file in the repository;
-a variant holds places (`class.1.name`) and the project's own values. A place that the customer's file lacks, or
-one that is to be added and is there, is one line and status 2.
+Owns: the folder it is told to fill. Must never: keep a word or a figure of a customer's file in the
+repository; a variant holds places (`class.1.name`) and the project's own values. A place that the customer's
+file lacks, or one that is to be added and is there, is one line and status 2.
 """
 
 from __future__ import annotations
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -82,7 +82,7 @@
         self._config, self._facade, self._counters, self._clock = config, facade, counters, clock
         self._at = config.discovery
         self._asked = asyncio.Event()
-        self._asked.set()  # Danger: pushed lists are not asked for by the module, but only a watch brings them
+        self._asked.set()  # Danger: the module asks for no pushed lists, but only a watch brings them
         self._watch: asyncio.Task[None] | None = None
         self._moved = False
         self._sock: socket.socket | None = None
