One place says whether an attempt may begin: none for who has left, spoken or been stopped

An attempt that ended in the turn of the loop in which its client left was followed by a connection to the next server; a client that spoke in the turn of its UP was told nothing; one that spoke and left in the queue for its turn was sent on; BUSY with more behind it, or without CR, counted as proof that nothing ran; a time-out in the wait for the first line's last byte did too. Ruled out, forced and found safe: a drain told between pick and first byte, an end after the last byte, a plain BUSY, a stop in the turn in which a connection comes up. At fault: Session._set_up looked at the attempt before it looked at the client, _attempt looked at the client nowhere, _verdict read the first word alone, 'except (OSError, TimeoutError)' after send_parts. Change: _given_up is asked before a line is written and after every attempt; _unserved gives the one answer.

--- a/switchhub/net/lines.py
+++ b/switchhub/net/lines.py
@@ -187,6 +187,10 @@
         except OSError:
             return True
 
+    def spoke(self) -> bool:
+        """Whether something lies unread, here or in the kernel; an end does not count."""
+        return bool(len(self.rest()) or self.fill_now())
+
     def connected(self) -> bool:
         """Whether the other side has accepted, as the kernel knows it."""
         try:
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -319,6 +319,8 @@
                 verdict = Verdict.REFUSE
             if self.client.gone():
                 raise ConnectionResetError("the client has left while it waited for its turn")
+            if self.client.spoke():  # also one that spoke and left
+                raise LineError("a client waits for its answer")
             now = self._clock()
         late = verdict is Verdict.REFUSE
         if late:
@@ -335,18 +337,14 @@
             started = self._clock()
             attempt = asyncio.create_task(self._attempt(head, pick, started))
             await asyncio.wait((attempt, self._done), return_when=asyncio.FIRST_COMPLETED)
-            if not attempt.done():  # the client has left, or this balancer stops
+            if not attempt.done():
                 attempt.cancel()
                 await asyncio.wait((attempt,))
+            result = Result.CANCELLED if attempt.cancelled() else attempt.result()
+            if self._given_up():
                 facade.report(self._clock(), Left(request.id))
-                self._over(started, Result.CANCELLED)
-                if self._done.result() is End.STOPPED:
-                    return self._answer("failed", FAILED)
-                if self._done.result() is End.EARLY:
-                    return self._answer("early", ERR)
-                self._counters.add("clients.left")
-                return False
-            result = attempt.result()
+                self._over(started, Result.CANCELLED if result is Result.OK else result)
+                return self._unserved()
             now = self._clock()
             elapsed = now - started
             logger.debug("{} at {}: {} in {:.0f} ms", self.id, pick.server, result.value, elapsed)
@@ -364,6 +362,26 @@
                 self.server = None
             facade.report(self._clock(), Ended(request.id, elapsed, result, False))
 
+    def _given_up(self) -> bool:
+        """Whether nobody waits for an answer any more, or this balancer stops: the one place that says if an
+        attempt may begin, or come to stand.
+
+        Danger: the client leaves in the very turn of the loop in which an attempt ends or comes up, and its
+        reader has not run yet."""
+        if self.client.gone():
+            self._finish(End.CLIENT)
+        return self._done.done()
+
+    def _unserved(self) -> bool:
+        """The end of a request that was given up before it stood: its client's doing, or this balancer's."""
+        end = self._done.result()
+        if end is End.STOPPED:
+            return self._answer("failed", FAILED)
+        if end is End.EARLY:
+            return self._answer("early", ERR)
+        self._counters.add("clients.left")
+        return False
+
     def _answer(self, kind: str, line: bytes) -> bool:
         self._counters.answer(self._class, kind)
         if not self.client.say(line):
@@ -394,13 +412,15 @@
             self._counters.add("attempts.own_delay")  # it stands: this process was late to see it
         except OSError:
             return Result.UNREACHABLE
-        if loop.time() >= ends or not self._node.discovery.ready(pick.server):
+        if loop.time() >= ends or not self._node.discovery.ready(pick.server) or self._given_up():
             return Result.NOT_SENT
         left = max(1, int((ends - loop.time()) * 1000))
         try:
             async with asyncio.timeout_at(ends):
                 await server.send_parts([head.before, str(left).encode() if head.after else b"", head.after])
-        except (OSError, TimeoutError):
+        except TimeoutError:  # Danger: it may end the wait for the last byte just after that was written
+            return Result.TIMEOUT
+        except OSError:
             return Result.UNREACHABLE
         self._counters.add("dispatches")
         return await self._verdict(server, ends)
@@ -422,11 +442,13 @@
             return Result.RESET
         except LineError:
             return Result.ERROR
+        if line[-2:].tobytes() != b"\r\n":
+            return Result.ERROR
         if line[:3].tobytes() == b"UP ":
             return Result.OK
         word = line.tobytes().split()[:1]
-        if word == [b"BUSY"]:
-            return Result.FULL
+        if word == [b"BUSY"]:  # Danger: with more behind it, it is no proof that nothing has run
+            return Result.FULL if len(line) == len(server.rest()) else Result.ERROR
         if word == [b"MOVE"]:
             return Result.CANCELLED
         return Result.ERROR
