A keyed request is neither repeated nor refused past the window of its servers

Ruled out: the start of the window (it counts from the first attempt's pick, earlier than its sending). At fault: brain._lawful looked at the window when the attempt was chosen, session._attempt never; brain._harmless did not look. Change: Attempt and Send carry 'within', kept where the line is written; one function, _window, for all three places. The test that wanted a refusal past the window held the fault: it wants one within the window now, and another a failure past it. Tests seen to fail before: the crossing and the refusal.

--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -285,7 +285,7 @@
         self._hold(conn, node)
         if self._cold_age(node) is not None:
             node.sent.append((self._now, self._push(conn)))
-        self._out.append(Attempt(conn.request.id, node.id, self._timeout(conn)))
+        self._out.append(Attempt(conn.request.id, node.id, self._timeout(conn), self._window(conn)))
 
     def _lawful(self, conn: _Conn) -> list[_Node]:
         """The servers to which the four rules allow an attempt now."""
@@ -293,8 +293,8 @@
             return []
         nodes = self._ready  # rule 3
         if conn.ran is not None and conn.kind.repeat is not Repeat.SAFE:  # rule 2
-            where, sent_at = conn.ran
-            if conn.kind.repeat is Repeat.UNSAFE or self._now - sent_at >= conn.kind.window:
+            where, _ = conn.ran
+            if conn.kind.repeat is Repeat.UNSAFE or self._window(conn) <= 0:
                 return []
             if conn.kind.scope is Scope.ZONE:
                 nodes = [node for node in nodes if node.server.zone == where.zone]
@@ -307,6 +307,13 @@
             nodes = [node for node in nodes if node not in barred]
         return nodes
 
+    def _window(self, conn: _Conn) -> float:
+        """Rule 2: how long a keyed request that may have run may be repeated. Danger: an attempt begun in its
+        window whose connection comes up late is sent past it."""
+        if conn.ran is None or conn.kind.repeat is not Repeat.KEYED:
+            return math.inf
+        return conn.kind.window - (self._now - conn.ran[1])
+
     def _least(self, conn: _Conn, nodes: list[_Node]) -> _Node:
         """The design: the least sum with the new connection in it. Ties by lot."""
         sums = self._sums(conn, nodes)
@@ -342,7 +349,7 @@
         """Rule 2: whether the client may be told that trying again is harmless."""
         kind = conn.kind
         return conn.ran is None or kind.repeat is Repeat.SAFE or (
-            kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL)
+            kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL and self._window(conn) > 0)
 
     # The exceptions, in their order. Each returns the candidates that remain; nobody left: it is passed over.
 
--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from typing import NamedTuple
 
 from switchhub.decision import interface as api
@@ -20,10 +21,12 @@
 
 
 class Send(NamedTuple):
-    """Set the request up at this server, and wait so many milliseconds at most."""
+    """Set the request up at this server, and wait so many milliseconds at most; what can't be sent `within`
+    so many is not to be sent."""
 
     server: str
     timeout: float
+    within: float = math.inf
 
 
 class Refused(NamedTuple):
@@ -222,7 +225,7 @@
             if isinstance(action, api.Attempt):
                 held = self._held[action.request]
                 held.attempt, held.server = held.attempt + 1, action.server
-                held.decision = Send(action.server, action.timeout)
+                held.decision = Send(action.server, action.timeout, action.within)
             elif isinstance(action, api.Refuse):
                 self._held[action.request].decision = Refused(action.retry_after)
             elif isinstance(action, api.Fail):
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -278,11 +279,13 @@
 
 
 class Attempt(NamedTuple):
-    """Set the request up at a server; attempts count from 0. Time-out 0: as long as the client waits."""
+    """Set the request up at a server; attempts count from 0. Time-out 0: as long as the client waits.
+    What is not sent `within` so many milliseconds, for its connection came up late, is not to be sent."""
 
     request: str
     server: str
     timeout: float
+    within: float = math.inf
 
 
 class Refuse(NamedTuple):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -70,7 +70,7 @@
 class Play:
     """One balancer with two servers, `first` the one that the module chose."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, told: dict[str, Any] | None = None) -> None:
         self.servers = {name: Scripted(name) for name in ("a", "b")}
         file = path / "config.json"
         config = {
@@ -84,7 +84,7 @@
                 "full": True,
                 "servers": [each.entry() for each in self.servers.values()],
             },
-            "settings": settings(),
+            "settings": told or settings(),
         }
         file.write_text(json.dumps(config))
         self.node = Listener(read_config({"BALANCER_CONFIG": str(file)}))
@@ -131,9 +131,9 @@
     sock.close()
 
 
-def played(path: Path, script: Callable[[Play], Awaitable[None]]) -> None:
+def played(path: Path, script: Callable[[Play], Awaitable[None]], told: dict[str, Any] | None = None) -> None:
     async def run() -> None:
-        play = Play(path)
+        play = Play(path, told)
         try:
             await script(play)
         finally:
@@ -364,3 +364,36 @@
         assert other.untouched()
 
     played(tmp_path, script)
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_keyed_request_is_not_repeated_past_its_window_by_a_connection_that_came_up_late(
+    tmp_path: Path, late: bool
+) -> None:
+    """Danger: the repeat begins in its window, and is sent when the window is over."""
+    window = 500.0
+    told = settings()
+    told["Classes"][1].update(Repeat="by_key", KeyScope="all", KeyTtl=window)
+
+    async def script(play: Play) -> None:
+        clock, passed = play.node.clock, [0.0]
+        play.node.clock = lambda: clock() + passed[0]  # type: ignore[method-assign]
+        await play.open("pay")
+        _, other, sock = await play.attempted()
+
+        def later() -> None:
+            passed[0] = window + 1.0
+
+        if late:
+            at_connect(play, later)()
+        reset(sock)
+        if late:
+            assert await play.ended() == b"FAILED\r\n"
+            assert (await other.next())[1] == b""
+        else:
+            again, line = await other.next()
+            assert line.startswith(b"OPEN ")
+            again.close()
+            await play.ended()
+
+    played(tmp_path, script, told)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -94,6 +94,17 @@
     assert world.did(Attempt)
 
 
+@pytest.mark.parametrize(("waited", "answer"), [(100.0, Refuse), (600.0, Fail)])
+def test_a_refusal_past_the_window_would_promise_what_no_server_keeps(waited: float, answer: type) -> None:
+    """Danger: nobody drops the repeat of a keyed request any more, and the client is told that it may try."""
+    world = World(make_settings((make_class(Repeat.KEYED, Scope.ALL, window=500.0),), max_attempts=1))
+    world.roster(server("a"), server("b"))
+    request = world.ask()
+    world.wait(waited)
+    world.end(request, Result.RESET, elapsed=waited)
+    assert world.did(answer)
+
+
 def test_unsafe_once_in_doubt_stays_in_doubt() -> None:
     world = with_class(Repeat.KEYED, Scope.CELL)
     world.roster(server("a", cell=1), server("b", cell=1), server("c", cell=2))
@@ -129,12 +140,12 @@
     assert world.did(Fail) and not world.did(Attempt)
 
 
-def test_keyed_in_all_servers_may_be_refused() -> None:
-    world = with_class(Repeat.KEYED, Scope.ALL, window=100.0)
+def test_keyed_in_all_servers_may_be_refused_within_its_window() -> None:
+    world = with_class(Repeat.KEYED, Scope.ALL, window=2000.0)
     world.roster(server("a"))
     request = world.ask()
-    world.wait(150.0)
-    world.end(request, Result.TIMEOUT, elapsed=150.0)
+    world.wait(1300.0)  # past its client's time
+    world.end(request, Result.TIMEOUT, elapsed=1300.0)
     assert world.did(Refuse)
 
 
