--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -446,8 +446,8 @@
     async def _empty_queue(self) -> None:
         """Take in whom the kernel has accepted and close the clients' address.
 
-        Danger: where a new process shares it without a hand-over, the kernel goes on giving this one half of
-        the new clients, and what lies unaccepted when it closes is reset."""
+        Danger: what lies unaccepted when it closes is reset. And where a new process shares it without a
+        hand-over, the kernel goes on giving this one half of the new clients."""
         if self._closed:
             return
         self._closed = True
@@ -544,13 +544,14 @@
             if giver is not None and now >= starts + LINGER and not any(each.common for each in heirs):
                 await self._empty_queue()
             await asyncio.sleep(TICK)
-        if giver is not None and not given:
+        if not given:
             await self._empty_queue()
         for _, _, turn in self._latest:
             if not turn.done():
                 turn.set_result(False)
-        for session in list(self.sessions.values()):
-            session.give_up()
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=LAST_ANSWERS)
+        last = self.loop.time() + LAST_ANSWERS
+        while self._tasks and self.loop.time() < last:
+            for session in list(self.sessions.values()):  # also who was in the queue and is read only now
+                session.give_up()
+            await asyncio.wait(self._tasks, timeout=TICK, return_when=asyncio.FIRST_COMPLETED)
         logger.info("stopped with {} sessions", len(self.sessions))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -397,3 +397,22 @@
             await play.ended()
 
     played(tmp_path, script, told)
+
+
+def test_who_is_in_the_queue_when_a_stop_closes_the_address_is_answered(tmp_path: Path) -> None:
+    """Danger: a connection that the kernel has accepted counts as taken; closed unread, it is reset."""
+
+    async def script(play: Play) -> None:
+        running = asyncio.create_task(play.node.run())
+        async with asyncio.timeout(WITHIN):
+            while not play.node.serving:
+                await asyncio.sleep(0)
+            await play.node.pause_accept()
+            reader, writer = await asyncio.open_connection(*play.node.address())
+            writer.write(b"OPEN %016x key c=any,t=acme,d=2000\r\n" % next(IDS))
+            play.node.stop()
+            assert await reader.readline() == b"FAILED\r\n"
+            await running
+            writer.close()
+
+    played(tmp_path, script)
