--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -170,6 +170,20 @@
     played(tmp_path, script)
 
 
+def test_a_move_of_discovery_is_told_to_the_module(tmp_path: Path) -> None:
+    async def script(play: Play) -> None:
+        told: list[float] = []
+
+        def moved(now: float) -> None:
+            told.append(now)
+
+        play.node.facade.moved = moved  # type: ignore[method-assign]
+        play.node.discovery.move(("127.0.0.1", 2))
+        assert len(told) == 1
+
+    played(tmp_path, script)
+
+
 @pytest.mark.parametrize("answer", [b"UP r-1\r\n", b"BUSY\r\n"])
 def test_a_client_that_speaks_in_the_turn_in_which_its_answer_comes_is_told_err(
     tmp_path: Path, answer: bytes
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -132,7 +132,11 @@
             )
             discovery.keeps = shape == "endless"
             await discovery.change("a", "Ready")
-            await program.logged("server b draining")
+            async with asyncio.timeout(10):
+                while discovery.bodies:
+                    await asyncio.sleep(0.01)
+            async with asyncio.timeout(1.7):  # it was begun, so its end is not waited for as a queue's is
+                await program.logged("server b draining")
             assert "" not in discovery.asked, "heard from the part"
             async with asyncio.timeout(10):
                 while "" not in discovery.asked:  # everything is asked for, in time
