--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -131,3 +131,43 @@
             await program.logged("server b draining")
 
     asyncio.run(play())
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_none_from_discovery(tmp_path: Path) -> None:
+    """While discovery is down they take all there are; at its return, and after SIGHUP, it has its own."""
+    sockets = 96
+
+    async def play() -> None:
+        servers = [Server("a"), Server("b"), Server("c")]
+        async with running(tmp_path, *servers, sockets=sockets, fails=2) as (program, discovery):
+            filling = True
+
+            async def idle() -> None:
+                while filling:  # who is given up comes again
+                    try:
+                        reader, writer = await asyncio.open_connection("127.0.0.1", program.port)
+                        await reader.read()
+                        writer.close()
+                    except OSError:
+                        await asyncio.sleep(0.01)
+
+            crowd = [asyncio.create_task(idle()) for _ in range(2 * sockets)]
+            descriptors = Path(f"/proc/{program.process.pid}/fd")
+            async with asyncio.timeout(10):
+                while len(list(descriptors.iterdir())) < 0.8 * sockets:
+                    await asyncio.sleep(0.01)
+            await discovery.change("b", "Terminating")
+            await program.logged("server b draining")
+            other = Discovery(servers)
+            await other.start()
+            other.states["c"] = "Terminating"
+            await program.reload(program.moved(other))
+            await program.logged("server c draining")
+            assert (await program.up()).receipt.startswith(b"UP a-")
+            filling = False
+            for each in crowd:
+                each.cancel()
+            await asyncio.wait(crowd)
+            await other.close()
+
+    asyncio.run(play())
