Tests: an answer of the old discovery that lies unread at a move is not heard

A crossing that was found safe by reading has its test: the answer is written and discovery moved in one step.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -170,6 +170,34 @@
     played(tmp_path, script)
 
 
+def test_an_answer_of_the_old_discovery_that_lies_unread_at_a_move_is_not_heard(tmp_path: Path) -> None:
+    """Danger: its version and its list would be taken for the new one's."""
+
+    async def script(play: Play) -> None:
+        loop = asyncio.get_running_loop()
+        old, new = Scripted("old"), Scripted("new")
+        discovery = play.node.discovery
+        discovery.move(old.sock.getsockname())
+        running = asyncio.create_task(discovery.run())
+        async with asyncio.timeout(WITHIN):
+            sock, _ = await loop.sock_accept(old.sock)
+            await loop.sock_recv(sock, 4096)
+        gone = {**play.servers["b"].entry(), "state": "Terminating"}
+        body = json.dumps({"version": 9, "full": True, "servers": [play.servers["a"].entry(), gone]}).encode()
+        sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        discovery.move(new.sock.getsockname())
+        async with asyncio.timeout(WITHIN):
+            asks, _ = await loop.sock_accept(new.sock)
+            assert (await loop.sock_recv(asks, 4096)).startswith(b"GET /api/targets HTTP/1.1\r\n")
+        assert discovery.version == 0 and discovery.ready("b")
+        running.cancel()
+        await asyncio.wait((running,))
+        for each in (sock, asks, old.sock, new.sock):
+            each.close()
+
+    played(tmp_path, script)
+
+
 def test_a_move_of_discovery_is_told_to_the_module(tmp_path: Path) -> None:
     async def script(play: Play) -> None:
         told: list[float] = []
