--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -170,6 +170,20 @@
     played(tmp_path, script)
 
 
+def test_a_move_of_discovery_is_told_to_the_module(tmp_path: Path) -> None:
+    async def script(play: Play) -> None:
+        told: list[float] = []
+
+        def moved(now: float) -> None:
+            told.append(now)
+
+        play.node.facade.moved = moved  # type: ignore[method-assign]
+        play.node.discovery.move(("127.0.0.1", 2))
+        assert len(told) == 1
+
+    played(tmp_path, script)
+
+
 @pytest.mark.parametrize("answer", [b"UP r-1\r\n", b"BUSY\r\n"])
 def test_a_client_that_speaks_in_the_turn_in_which_its_answer_comes_is_told_err(
     tmp_path: Path, answer: bytes
@@ -397,3 +411,22 @@
             await play.ended()
 
     played(tmp_path, script, told)
+
+
+def test_who_is_in_the_queue_when_a_stop_closes_the_address_is_answered(tmp_path: Path) -> None:
+    """Danger: a connection that the kernel has accepted counts as taken; closed unread, it is reset."""
+
+    async def script(play: Play) -> None:
+        running = asyncio.create_task(play.node.run())
+        async with asyncio.timeout(WITHIN):
+            while not play.node.serving:
+                await asyncio.sleep(0)
+            await play.node.pause_accept()
+            reader, writer = await asyncio.open_connection(*play.node.address())
+            writer.write(b"OPEN %016x key c=any,t=acme,d=2000\r\n" % next(IDS))
+            play.node.stop()
+            assert await reader.readline() == b"FAILED\r\n"
+            await running
+            writer.close()
+
+    played(tmp_path, script)
