The test of idle clients: the new discovery also has b draining, as the old one had

Seen: 2 of 7 plays failed with a client served by b. The new discovery of the test had b as ready again, so serving there was right. Ruled out: the product (its list was the new one's). Change: both servers drain at the new one too; what is asked is as it was.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -160,7 +160,7 @@
             await program.logged("server b draining")
             other = Discovery(servers)
             await other.start()
-            other.states["c"] = "Terminating"
+            other.states.update(b="Terminating", c="Terminating")
             await program.reload(program.moved(other))
             await program.logged("server c draining")
             assert (await program.up()).receipt.startswith(b"UP a-")
