--- a/switchhub/decision/brain.py
+++ b/switchhub/decision/brain.py
@@ -573,7 +573,7 @@
         """Danger: discovery is one queue for all; calls given up still fill it, and repeated at once none is
         served again. Nor while most of that queue is made of calls given up: after a failure that took long
         the next call waits that out, and from the fourth on each doubles the wait, by lot. But what it knows
-        counts as told 6 s after it can be reached: a failed call, a first wait and the next call fit."""
+        counts as told 6 s after it can be reached: a wait of 4 s and a call fit, a held one not."""
         self._queued |= not self._watching and self._now - self._asked_at >= QUEUED
         self._asks_failed += 1
         if self._watching or self._asks_failed == 1:
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -130,8 +130,9 @@
 def test_what_discovery_knows_at_its_return_is_heard_before_it_counts_as_told(
     held: float, longest: float
 ) -> None:
-    """Danger: the wait doubled through the outage, and 6 s after the return everything counts as told. Where
-    calls are held until a queue turns them away the wait must go on growing, past 10 s of them, see above."""
+    """Danger: the wait doubled through the outage, and 6 s after the return everything counts as told. A call
+    that was held across the return adds its own time. Where calls are held until a queue turns them away the
+    wait must go on growing, past 10 s of them, see above."""
     for outage in (3000.0, 5000.0, 8000.0, 10_000.0, 30_000.0):
         if outage <= longest:
             assert max(heard_after(outage, held, seed) for seed in range(40)) <= TOLD + held
