Handover: reading stops at both sockets before the event loop turns

Cause: Session.hand_over stopped reading from the client, let the loop turn twice, and then stopped reading from the server. A reset that had been read ends the session in these turns, which closes both sockets, and the loop refuses to remove the reader of a closed one.

Change: stop_reading takes all the readers of a connection and removes them before its first turn of the loop, while the sockets are known to be open. No removal follows a wait any more, so nothing can come between. A connection that was passed on counts as ended before its sockets are closed.

Measured: tests/test_handover_races.py resets one of three connections from either side or both, -4 to 4 turns of the loop around the start of the handover, on asyncio's loop and on uvloop: 6 of 54 failed before (client and server, at 0 and 1 turns), none after. test_handover and test_session_races pass.

--- a/switchhub/net/line_socket.py
+++ b/switchhub/net/line_socket.py
@@ -30,6 +30,7 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _LF = 10
 _TCP_INFO = struct.Struct("8x44xI12xI28xI")  # linux/tcp.h: last_data_recv, rtt and total_retrans of tcp_info
+STOP_READING_ITERATIONS = 2  # of the event loop, in which a task that was given something runs
 HANDSHAKE_RETRY_MS = 1000.0  # after this time the kernel repeats a TCP handshake for the first time
 
 
@@ -139,15 +140,19 @@
     awaiting_input: bool  # the task is waiting and nothing has arrived
 
 
-async def stop_reading(reader: SocketReader) -> bool:
-    """Stop reading from this socket; return whether its task still waits and can be cancelled safely.
+async def stop_reading(*readers: SocketReader) -> list[bool]:
+    """Stop reading from these open sockets; return for each whether its task can be cancelled safely.
 
     A task that is cancelled after the loop has read for it, but before it has run, loses what was read. A
-    task that was given something runs within the next iterations of the loop and then no longer waits."""
-    asyncio.get_running_loop().remove_reader(reader.sock)
-    for _ in range(2):
+    task that was given something runs within the next iterations of the loop and then no longer waits.
+    Meanwhile what it was given, such as a reset, may end the connection and close all of these sockets, so
+    reading stops at all of them before the first iteration."""
+    loop = asyncio.get_running_loop()
+    for reader in readers:
+        loop.remove_reader(reader.sock)
+    for _ in range(STOP_READING_ITERATIONS):
         await asyncio.sleep(0)
-    return reader.awaiting_input
+    return [reader.awaiting_input for reader in readers]
 
 
 class LineSocket:
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -293,7 +293,8 @@
     async def pause_accepting(self) -> None:
         """Stop accepting; connections that the event loop has already accepted still get a session."""
         self._accepting.clear()
-        if await stop_reading(self) and self._accept_task is not None:
+        (can_be_cancelled,) = await stop_reading(self)
+        if can_be_cancelled and self._accept_task is not None:
             self._accept_task.cancel()
 
     # Links to other processes of this balancer (`handover.link`).
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -259,14 +259,15 @@
             return
         self._handing_over = True
         client, server = self.client, cast(LineSocket, self.server)
-        for line_socket, task in ((client, self._client_reader), (server, self._server_reader)):
-            if await stop_reading(line_socket):
-                task.cancel()
-        await asyncio.wait((self._client_reader, self._server_reader), timeout=HANDOVER_WRITE_TIMEOUT_S)
+        readers = self._client_reader, self._server_reader
+        for reader, can_be_cancelled in zip(readers, await stop_reading(client, server), strict=True):
+            if can_be_cancelled:
+                reader.cancel()
+        await asyncio.wait(readers, timeout=HANDOVER_WRITE_TIMEOUT_S)
         held = self.handover_record()
         if self._end_reason.done() or held is None:
             return
-        if not (self._client_reader.done() and self._server_reader.done()):
+        if not all(reader.done() for reader in readers):
             return self.move(at_once=True)
         passed = PassedConnection(
             held,
@@ -280,9 +281,9 @@
         )
         if not send(passed, client.sock, server.sock):
             return self.move(at_once=True)
+        self._end(EndReason.PASSED_ON)  # first: from here on the client must not be told to move
         client.close()
         server.close()
-        self._end(EndReason.PASSED_ON)
 
     @classmethod
     def from_predecessor(
--- a/tests/scripted_balancer.py
+++ b/tests/scripted_balancer.py
@@ -88,6 +88,7 @@
         self.client: socket.socket
         self.task: asyncio.Task[None]
         self.session: Session
+        self.expected_errors = 0  # unexpected errors that the test provokes
 
     async def open_request(self, kind: str = "any", before: Callable[[], None] = lambda: None) -> None:
         """Send a client's request and start a session for it; call `before` between the two."""
@@ -120,7 +121,7 @@
         self.listener.sock.close()
         for each in self.servers.values():
             each.sock.close()
-        assert self.listener.counters.get("errors") == 0
+        assert self.listener.counters.get("errors") == self.expected_errors
 
 
 def reset(sock: socket.socket) -> None:
@@ -132,7 +133,10 @@
     path: Path,
     script: Callable[[BalancerFixture], Awaitable[None]],
     deployment_settings: dict[str, Any] | None = None,
+    loop_factory: Callable[[], asyncio.AbstractEventLoop] = asyncio.new_event_loop,
 ) -> None:
+    """Run the script with a balancer whose files are in this directory, on an event loop of this kind."""
+
     async def run() -> None:
         fixture = BalancerFixture(path, deployment_settings)
         try:
@@ -140,4 +144,5 @@
         finally:
             fixture.close()
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(run())
--- /dev/null
+++ b/tests/test_handover_races.py
@@ -0,0 +1,173 @@
+"""Connections that end while they are handed over, each forced at the step itself.
+
+The old process runs here with its real handover code; the test reads the other end of its channel. A client
+or a server resets its connection a given number of loop iterations before or after the handover begins."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+import uvloop
+
+from switchhub.handover import messages
+from switchhub.handover.channel import Channel
+from switchhub.handover.link import ProcessLink
+from switchhub.handover.sender import HandoverSender
+from switchhub.net.session import Session
+from tests.harness import CONNECTION_IDS, TIMEOUT_S
+from tests.scripted_balancer import BalancerFixture, reset, run_script
+
+# Iterations by which a reset precedes (-) or follows the start of a handover. A session ends three iterations
+# after its reset has been read, and a handover stops reading for two.
+RESET_OFFSETS = range(-4, 5)
+
+
+class EstablishedConnection(NamedTuple):
+    """A connection of the balancer, with the sockets that its client and its server hold."""
+
+    session: Session
+    task: asyncio.Task[None]
+    client: socket.socket
+    server: socket.socket
+
+    def close(self) -> None:
+        self.client.close()
+        self.server.close()
+
+
+class Handover:
+    """The link of this old process to a new one, which the test plays."""
+
+    def __init__(self, fixture: BalancerFixture) -> None:
+        near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self._channel, self._successor = Channel(near), Channel(far)
+        self.link = ProcessLink(
+            fixture.listener, self._channel, is_newer=False, supports_accept_right=False, shares_queue=True
+        )
+        fixture.listener.add_link(self.link)
+        self.sender = HandoverSender(fixture.listener, "")
+
+    async def received_ids(self) -> list[str]:
+        """Return the ids of the connections that the new process has received with both sockets."""
+        ids = []
+        while self._successor.has_unread():
+            received = await self._successor.receive()
+            assert received is not None and len(received[1]) == 2
+            _, values = messages.decode_message(received[0])
+            ids.append(messages.decode_passed(values).held.id)
+            for sock in received[1]:
+                sock.close()
+        return ids
+
+    def close(self) -> None:
+        self._channel.close()
+        self._successor.close()
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a TCP connection: only such a connection can be reset."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        near = socket.create_connection(listening.getsockname())
+        far, _ = listening.accept()
+    far.setblocking(False)
+    return near, far
+
+
+async def establish(fixture: BalancerFixture) -> EstablishedConnection:
+    """Return a new connection that has been answered `UP`."""
+    near, client = tcp_pair()
+    client.send(b"OPEN %016x key c=any,t=acme,d=2000\r\n" % next(CONNECTION_IDS))
+    session = Session(fixture.listener, fixture.listener.sockets.add_client(near))
+    task = asyncio.create_task(session.run())
+    _, _, server = await fixture.first_attempt()
+    server.send(b"UP r-1\r\n")
+    async with asyncio.timeout(TIMEOUT_S):
+        assert await asyncio.get_running_loop().sock_recv(client, 100) == b"UP r-1\r\n"
+    return EstablishedConnection(session, task, client, server)
+
+
+async def loop_iterations(count: int) -> None:
+    """Let the event loop turn so many times."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+RESETS = {"client": ["client"], "server": ["server"], "both": ["client", "server"]}  # by parameter
+
+
+def reset_sides(connection: EstablishedConnection, sides: list[str]) -> None:
+    """Reset the connection from these sides."""
+    for side in sides:
+        reset(connection.client if side == "client" else connection.server)
+
+
+LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("side", RESETS)
+@pytest.mark.parametrize("offset", RESET_OFFSETS)
+def test_connection_that_is_reset_during_a_handover_does_not_end_the_handover(
+    tmp_path: Path, offset: int, side: str, loop: str
+) -> None:
+    """An upgrade while clients dropped ended the old process and cut off all that it had not passed on."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        handover = Handover(fixture)
+        connections = [await establish(fixture) for _ in range(3)]
+        dropped, others = connections[1], [connections[0], connections[2]]
+        if offset < 0:
+            reset_sides(dropped, RESETS[side])
+            await loop_iterations(-offset)
+        passing = asyncio.create_task(handover.sender.pass_on_all())
+        if offset >= 0:
+            await loop_iterations(offset)
+            reset_sides(dropped, RESETS[side])
+        async with asyncio.timeout(TIMEOUT_S):
+            await passing
+            received = await handover.received_ids()
+            assert {each.session.id for each in others} <= set(received)
+            assert len(received) == len(set(received))
+            await asyncio.wait([each.task for each in connections])
+        assert not fixture.listener.sessions and fixture.listener.sockets.open == 0
+        handover.close()
+        for each in connections:
+            each.close()
+
+    run_script(tmp_path, script, loop_factory=LOOPS[loop])
+
+
+@pytest.mark.parametrize("ends", ["moved", "stopped", "silent"])
+def test_connection_that_this_process_ends_during_its_handover_is_not_passed_on(
+    tmp_path: Path, ends: str
+) -> None:
+    """A client that was told to move would otherwise be served by the new process too."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        handover = Handover(fixture)
+        ended, other = await establish(fixture), await establish(fixture)
+        passing = asyncio.create_task(handover.sender.pass_on_all())
+        await loop_iterations(2)
+        if ends == "moved":
+            ended.session.move()
+        elif ends == "stopped":
+            ended.session.end_for_stop()
+        else:
+            ended.client.send(b"M 1\r\n")
+            ended.session._unanswered_times.append(0.0)
+            ended.session.check_silence(fixture.listener.clock(), True)
+        async with asyncio.timeout(TIMEOUT_S):
+            await passing
+            assert await handover.received_ids() == [other.session.id]
+            told = b"" if ends == "stopped" else b"MOVE\r\n"
+            assert await asyncio.get_running_loop().sock_recv(ended.client, 100) == told
+        handover.close()
+        for each in (ended, other):
+            each.close()
+        await asyncio.wait((ended.task, other.task))
+
+    run_script(tmp_path, script)
