Handover: an error in one connection's handover moves that client alone

Callers would see: any unexpected error of one session in HandoverSender.pass_on_all left asyncio.gather, then Listener._finish_sessions, and ended the process with status 1; all connections not yet passed on were cut off without MOVE.

Cause: the errors of a batch are one connection's each, but gather hands the first one to its caller.

Change: each connection is passed on by _pass_on, which logs and counts its error (`errors`) and moves its client. The others, and the order of the stop, go on.

Measured: a session whose record raises RuntimeError beside two others: before, the error left pass_on_all (test failed); now both others are received with their sockets and its client is told MOVE. 58 tests of the file pass.

--- a/switchhub/handover/sender.py
+++ b/switchhub/handover/sender.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from switchhub.net.listener import Listener
+    from switchhub.net.session import Session
 
 ANSWER_TIMEOUT_S = 2.0  # for the peer's first message, and for its answer to `join`
 TAKE_OVER_TIMEOUT_S = 6.0  # from the answer to a new process's `ask` until its `take`
@@ -303,12 +304,17 @@
                 or not await successor.wait_for_room()
             ):
                 return
-            await asyncio.gather(
-                *(
-                    session.hand_over(successor.pass_on)
-                    for session in sessions_to_pass[start : start + MAX_UNCONFIRMED]
-                )
-            )
+            batch = sessions_to_pass[start : start + MAX_UNCONFIRMED]
+            await asyncio.gather(*(self._pass_on(session, successor) for session in batch))
+
+    async def _pass_on(self, session: Session, successor: ProcessLink) -> None:
+        """Pass one connection on; after an unexpected error its client is moved, and the others go on."""
+        try:
+            await session.hand_over(successor.pass_on)
+        except Exception:
+            self._listener.counters.add("errors")
+            logger.exception("can't pass connection {} on, moving its client", session.id)
+            session.move(at_once=True)
 
     def close(self) -> None:
         """Close the listening Unix socket, and remove its file unless another process listens there."""
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -171,3 +171,28 @@
         await asyncio.wait((ended.task, other.task))
 
     run_script(tmp_path, script)
+
+
+def test_unexpected_error_in_one_handover_moves_that_client_and_passes_the_others_on(tmp_path: Path) -> None:
+    """Such an error left the batch, ended the process and cut off every connection not yet passed on."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        handover = Handover(fixture)
+        connections = [await establish(fixture) for _ in range(3)]
+        failing, others = connections[1], [connections[0], connections[2]]
+
+        def failing_record() -> None:
+            raise RuntimeError("a programming error")
+
+        failing.session.handover_record = failing_record  # type: ignore[method-assign]
+        async with asyncio.timeout(TIMEOUT_S):
+            await handover.sender.pass_on_all()
+            assert sorted(await handover.received_ids()) == sorted(each.session.id for each in others)
+            assert await asyncio.get_running_loop().sock_recv(failing.client, 100) == b"MOVE\r\n"
+        for each in connections:
+            each.close()
+        await asyncio.wait([each.task for each in connections])
+        handover.close()
+        fixture.expected_errors = 1
+
+    run_script(tmp_path, script)
