Management: an error in one request is answered 500 and ends nothing else

Callers would see: a balancer that ends, with all its connections cut off without MOVE, after an unexpected error in the handler of one management request.

Cause: a request that has arrived whole is answered by the accept loop itself. An error there ended the loop, the loop ended Listener.run, and that the process. In the task of a slow request it only closed the connection unanswered.

Change: RequestReader logs the error and answers 500.

--- a/switchhub/management/server.py
+++ b/switchhub/management/server.py
@@ -77,11 +77,17 @@
             if not self._head.complete:
                 return Response(400, f"not a call: {error}\n")
         if self._head.complete:
-            return handle_request(self._balancer, *self._method_and_target())
+            return self._respond()
         return Response(431, "the call's head is too long\n") if self._bytes_read > HEAD_MAX_BYTES else None
 
-    def _method_and_target(self) -> tuple[str, str]:
-        return self._parser.get_method().decode("latin-1"), self._head.target.decode("latin-1")
+    def _respond(self) -> Response:
+        """Return the response to the complete head; 500 after an unexpected error."""
+        method, target = self._parser.get_method().decode("latin-1"), self._head.target.decode("latin-1")
+        try:
+            return handle_request(self._balancer, method, target)
+        except Exception:
+            logger.exception("management: {} {} failed", method, target)
+            return Response(500, "internal error, see the log\n")
 
 
 def encode_response(response: Response) -> bytes:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -210,6 +210,36 @@
     asyncio.run(run_test())
 
 
+def test_error_in_one_request_leaves_the_server_running() -> None:
+    """Such an error ended the accept loop, which ended the balancer and all its connections."""
+
+    async def scenario() -> None:
+        def failing_page(method: str, query: str) -> tuple[int, str]:
+            raise RuntimeError("a programming error")
+
+        balancer = FakeBalancer()
+        balancer.pages["/failing"] = failing_page
+        management = ManagementServer(balancer, ("127.0.0.1", 0))
+        running = asyncio.create_task(management.run())
+        whole = b"GET /failing HTTP/1.1\r\n\r\n"
+        for _ in range(2):
+            assert (await send_request(port_of(management), whole)).startswith(b"HTTP/1.1 500 ")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port_of(management))
+        writer.write(whole[:10])
+        assert (await send_request(port_of(management), b"GET /stats HTTP/1.1\r\n\r\n")).startswith(
+            b"HTTP/1.1 200 "
+        )
+        writer.write(whole[10:])
+        async with asyncio.timeout(TIMEOUT_S):
+            assert (await reader.read()).startswith(b"HTTP/1.1 500 ")
+        writer.close()
+        assert not running.done()
+        running.cancel()
+        await asyncio.wait((running,))
+
+    asyncio.run(scenario())
+
+
 def test_an_address_in_use_is_reported_in_one_line() -> None:
     with socket.socket() as occupied:
         occupied.bind(("127.0.0.1", 0))
