Handover: an error in one message of the other process does not end the link

Callers would see: a message with a number out of range, or any error of an unexpected kind while one is handled, ended the link in the new process; the connections behind it in the channel were cut off without MOVE.

Cause: ProcessLink.follow let errors other than four kinds through, though each message concerns its own connections. Loads were not checked to be finite, and decoding let OverflowError out. The peer's connection was recorded before the decision module knew it, so that closing the link then failed too (KeyError) and left the link with the listener.

Change: follow logs and counts any error of one message and goes on; only the end of the channel ends the link. Decoding raises MessageError for numbers that are out of range or not finite. A connection is recorded once it is reported.

--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -229,18 +229,17 @@
                 threading.Thread(
                     target=self._send_heartbeats, args=(self._channel.duplicate_socket(),), daemon=True
                 ).start()
-            while True:
+            while (received := await self._channel.receive()) is not None:
                 try:
-                    await self._handle_next()
+                    self._handle(*received)
                 except messages.MessageError as error:
                     if not self.is_newer:
                         raise
                     logger.warning("ignoring a message of the old process: {}", error)
-                except (KeyError, TypeError, ValueError, OSError) as error:
-                    if isinstance(error, ConnectionResetError):
-                        raise
+                except Exception:  # the messages that follow concern other connections
                     self._listener.counters.add("errors")
                     logger.exception("can't handle a message of the other process")
+            raise ConnectionResetError(f"the {self._peer_age} process closed the channel")
         finally:
             tick_task.cancel()
             self.close()
@@ -266,11 +265,8 @@
                 logger.exception("can't update the link to the other process")
             await asyncio.sleep(TICK_INTERVAL_S)
 
-    async def _handle_next(self) -> None:
-        received = await self._channel.receive()
-        if received is None:
-            raise ConnectionResetError(f"the {self._peer_age} process closed the channel")
-        data, sockets = received
+    def _handle(self, data: bytes, sockets: list[socket.socket]) -> None:
+        """Handle one message of the peer, and close those of its sockets that no session serves."""
         try:
             kind, values = messages.decode_message(data)
             if self.right_state is not None and self._handle_right(self.right_state, kind, values):
@@ -320,7 +316,7 @@
                 right_state.receive_heartbeat(now, Heartbeat(*fields, bool(values["leaves"])))
             else:
                 return False
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except messages.MALFORMED as error:
             raise messages.MessageError(
                 f"malformed {kind} message: {type(error).__name__}: {error}"
             ) from None
@@ -354,11 +350,11 @@
             return
         if held.id in self._peer_connections:
             self.stop_counting([held.id])
-        self._peer_connections[held.id] = held
         listener.ids.reserve(held.id)
         logger.debug("connection {} is held by the {} process, at {}", held.id, self._peer_age, held.server)
         request = messages.request_from(held, listener.config.classes, listener.config.tenants)
         listener.facade.report(listener.clock(), Adopted(request, held.server))
+        self._peer_connections[held.id] = held
 
     def stop_counting(self, connection_ids: list[str]) -> None:
         """Stop counting these connections of the peer; their ids are remembered as used."""
--- a/switchhub/handover/messages.py
+++ b/switchhub/handover/messages.py
@@ -41,6 +41,7 @@
 PROTOCOL_VERSION = 1  # field `form`; processes of different versions do not join
 CONNECTIONS_PER_MESSAGE = 64  # connections in one `held` message
 MAX_MESSAGE_BYTES = 1 << 17  # of one message as received
+MALFORMED = (KeyError, TypeError, ValueError, OverflowError)  # what decoding a malformed message raises
 
 
 class MessageError(ValueError):
@@ -114,7 +115,7 @@
     """Return the connections of a `held` message; raise `MessageError` if one is malformed."""
     try:
         return [_decode_held_row(row) for row in values["connections"]]
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise MessageError(f"malformed held message: {type(error).__name__}: {error}") from None
 
 
@@ -123,8 +124,10 @@
     strings = (connection.id, connection.class_name, connection.tenant, connection.server)
     if not all(isinstance(string, str) for string in strings) or not connection.id:
         raise ValueError("expected strings as id, class, tenant and server, and an id that is not empty")
-    hint = None if connection.hint is None else float(connection.hint)
-    return connection._replace(hint=hint, load=float(connection.load))
+    hint, load = None if connection.hint is None else float(connection.hint), float(connection.load)
+    if not (math.isfinite(hint or 0.0) and math.isfinite(load)):
+        raise ValueError("expected finite numbers as hint and load")
+    return connection._replace(hint=hint, load=load)
 
 
 def decode_sent(values: Mapping[str, Any]) -> list[tuple[str, float, float]]:
@@ -139,7 +142,7 @@
         if not all(math.isfinite(sent_at) and math.isfinite(sent_load) for _, sent_at, sent_load in sent):
             raise ValueError("expected finite numbers")
         return sent
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise MessageError(f"malformed sent message: {type(error).__name__}: {error}") from None
 
 
@@ -164,7 +167,7 @@
             last=base64.b64decode(values["last"], validate=True),
             move=bool(values["move"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise MessageError(f"malformed pass message: {type(error).__name__}: {error}") from None
 
 
@@ -184,7 +187,7 @@
         return LearnedState(
             float(mean_hint), float(setup_time), float(setup_deviation), float(overload_at), known
         )
-    except (TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise MessageError(f"malformed learned state: {type(error).__name__}: {error}") from None
 
 
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,6 +18,7 @@
 from switchhub.handover import messages
 from switchhub.handover.channel import Channel
 from switchhub.handover.link import ProcessLink
+from switchhub.handover.messages import HeldConnection
 from switchhub.handover.sender import HandoverSender
 from switchhub.net.session import Session
 from tests.harness import CONNECTION_IDS, TIMEOUT_S
@@ -90,6 +93,20 @@
     return EstablishedConnection(session, task, client, server)
 
 
+@contextlib.contextmanager
+def following_old_process(
+    fixture: BalancerFixture,
+) -> Iterator[tuple[socket.socket, ProcessLink, asyncio.Task[None]]]:
+    """Let this process follow an old one, which the test plays: its socket, the link and the link's task."""
+    old, new = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    link = ProcessLink(
+        fixture.listener, Channel(new), is_newer=True, supports_accept_right=False, shares_queue=True
+    )
+    following = asyncio.create_task(link.follow())
+    with old:
+        yield old, link, following
+
+
 async def loop_iterations(count: int) -> None:
     """Let the event loop turn so many times."""
     for _ in range(count):
@@ -173,6 +190,49 @@
     run_script(tmp_path, script)
 
 
+@pytest.mark.parametrize("load", ["1e999", "9" * 400, "null", '"x"'], ids=["inf", "huge", "null", "text"])
+def test_malformed_message_of_the_old_process_does_not_end_the_link(tmp_path: Path, load: str) -> None:
+    """A number out of range ended the link, and cut off all connections that were still in its channel."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        with following_old_process(fixture) as (old, link, following):
+            for name, its_load in (("first", load), ("second", "1.0")):
+                row = f'["{name}","any","acme","key",null,null,"a",{its_load}]'
+                old.send(f'{{"is":"held","connections":[{row}]}}'.encode())
+            async with asyncio.timeout(TIMEOUT_S):
+                while "second" not in link._peer_connections:
+                    assert not following.done()
+                    await asyncio.sleep(0)
+            assert link.remote_connections == 1
+
+    run_script(tmp_path, script)
+
+
+def test_unexpected_error_in_one_message_does_not_end_the_link(tmp_path: Path) -> None:
+    """Such an error ended the link, and cut off all connections that were still in its channel."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        report = fixture.listener.facade.report
+
+        def failing_report(now: float, event: object) -> None:
+            fixture.listener.facade.report = report  # type: ignore[method-assign]
+            raise ArithmeticError("a programming error")
+
+        with following_old_process(fixture) as (old, link, following):
+            fixture.listener.facade.report = failing_report  # type: ignore[assignment]
+            for name in ("first", "second"):
+                old.send(
+                    messages.encode_held([HeldConnection(name, "any", "acme", None, None, None, "a", 1.0)])[0]
+                )
+            async with asyncio.timeout(TIMEOUT_S):
+                while "second" not in link._peer_connections:
+                    assert not following.done()
+                    await asyncio.sleep(0)
+        fixture.expected_errors = 1
+
+    run_script(tmp_path, script)
+
+
 def test_unexpected_error_in_one_handover_moves_that_client_and_passes_the_others_on(tmp_path: Path) -> None:
     """Such an error left the batch, ended the process and cut off every connection not yet passed on."""
 
