Handover: what an old process passed on before its end is received despite a reset

Cause: an old process that ends with a message of the new one unread (a heartbeat, a `got`) makes the kernel report ECONNRESET at the new one's next receive, once and ahead of the messages that still lie in the channel. Channel.receive took it for the end of the channel and closed it, with the connections in it.

Change: Channel.receive goes on after the first reset; the end of the channel is what the kernel reports after it.

--- a/switchhub/handover/channel.py
+++ b/switchhub/handover/channel.py
@@ -35,6 +35,7 @@
         sock.setblocking(False)
         self._sock = sock
         self._unsent: deque[tuple[bytes, list[socket.socket]]] = deque()
+        self._reset_reported = False  # the kernel has reported that the peer closed with messages unread
 
     @classmethod
     def connect_to(cls, path: str) -> Channel:
@@ -110,10 +111,12 @@
     async def receive(self) -> tuple[bytes, list[socket.socket]] | None:
         """Return the next message and its sockets, which are non-blocking; none at the end of the connection.
 
-        A truncated message also counts as the end. The sockets must be set non-blocking here: Python takes a
-        received socket for a blocking one, and its `dup` writes that into the file status flags, which are
-        common to all processes that share the socket. All of them would then block in `accept` until the next
-        client connects."""
+        If the peer closes with messages of this side unread, the kernel reports a reset, once and ahead of
+        what the peer has sent before; that is returned all the same. A truncated message counts as the end.
+
+        The sockets must be set non-blocking here: Python takes a received socket for a blocking one, and its
+        `dup` writes that into the file status flags, which are common to all processes that share the socket.
+        All of them would then block in `accept` until the next client connects."""
         while True:
             try:
                 data, descriptors, flags, _ = socket.recv_fds(
@@ -122,6 +125,11 @@
             except BlockingIOError:
                 await self._wait_readable()
                 continue
+            except ConnectionResetError:
+                if self._reset_reported:
+                    return None
+                self._reset_reported = True
+                continue
             except OSError:
                 return None
             sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -47,28 +47,38 @@
 
     def __init__(self, fixture: BalancerFixture) -> None:
         near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        self._channel, self._successor = Channel(near), Channel(far)
+        self.old, self.successor = Channel(near), Channel(far)
         self.link = ProcessLink(
-            fixture.listener, self._channel, is_newer=False, supports_accept_right=False, shares_queue=True
+            fixture.listener, self.old, is_newer=False, supports_accept_right=False, shares_queue=True
         )
         fixture.listener.add_link(self.link)
         self.sender = HandoverSender(fixture.listener, "")
+        self.ended = False  # the old process has closed the channel
 
     async def received_ids(self) -> list[str]:
-        """Return the ids of the connections that the new process has received with both sockets."""
+        """Return the ids of the connections that the new process has received with both sockets.
+
+        If the old process has closed the channel, this reads to its end."""
         ids = []
-        while self._successor.has_unread():
-            received = await self._successor.receive()
-            assert received is not None and len(received[1]) == 2
+        while self.ended or self.successor.has_unread():
+            received = await self.successor.receive()
+            if received is None:
+                break
+            assert len(received[1]) == 2
             _, values = messages.decode_message(received[0])
             ids.append(messages.decode_passed(values).held.id)
             for sock in received[1]:
                 sock.close()
         return ids
 
+    def end(self) -> None:
+        """Close the channel as the end of the old process does."""
+        self.old.close()
+        self.ended = True
+
     def close(self) -> None:
-        self._channel.close()
-        self._successor.close()
+        self.old.close()
+        self.successor.close()
 
 
 def tcp_pair() -> tuple[socket.socket, socket.socket]:
@@ -190,6 +200,31 @@
     run_script(tmp_path, script)
 
 
+@pytest.mark.parametrize("unread", ["nothing", "a message", "a message, after a look"])
+def test_connections_in_the_channel_of_an_old_process_that_has_ended_are_received(
+    tmp_path: Path, unread: str
+) -> None:
+    """An old process that ended with a message of the new one unread cut off what it had passed on last."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        handover = Handover(fixture)
+        connections = [await establish(fixture) for _ in range(3)]
+        await handover.sender.pass_on_all()
+        if unread != "nothing":
+            handover.successor.send(messages.encode_message("got"))
+        handover.end()
+        if unread.endswith("look"):
+            assert handover.successor.has_unread()
+        async with asyncio.timeout(TIMEOUT_S):
+            assert sorted(await handover.received_ids()) == sorted(each.session.id for each in connections)
+            await asyncio.wait([each.task for each in connections])
+        handover.close()
+        for each in connections:
+            each.close()
+
+    run_script(tmp_path, script)
+
+
 @pytest.mark.parametrize("load", ["1e999", "9" * 400, "null", '"x"'], ids=["inf", "huge", "null", "text"])
 def test_malformed_message_of_the_old_process_does_not_end_the_link(tmp_path: Path, load: str) -> None:
     """A number out of range ended the link, and cut off all connections that were still in its channel."""
