Session: one function writes a first line, for an attempt and for an adoption

Cause: _attempt and _adopt_once held the same lines. Change: _send_first_line, behaviour as before. Measured: the tests of sessions, their races and the handover's pass.

--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -479,16 +479,9 @@
         overdue = loop.time() >= latest_end or self._clock() - started >= pick.send_within
         if overdue or not self._listener.discovery.is_ready(pick.server) or self._is_abandoned():
             return Result.NOT_SENT
-        remaining_ms = max(1, int((latest_end - loop.time()) * 1000))
         try:
             async with asyncio.timeout_at(latest_end):
-                await server.send_parts(
-                    [
-                        first_line.text_before_wait,
-                        str(remaining_ms).encode() if first_line.text_after_wait else b"",
-                        first_line.text_after_wait,
-                    ]
-                )
+                await self._send_first_line(server, first_line, latest_end)
         except TimeoutError:  # the last byte may have been written just before the time-out
             return Result.TIMEOUT
         except OSError:
@@ -496,6 +489,12 @@
         self._counters.add("dispatches")
         return await self._read_server_answer(server, latest_end)
 
+    async def _send_first_line(self, server: LineSocket, first_line: FirstLine, latest_end: float) -> None:
+        """Send the client's first line; its `d`, if it has one, becomes the time until `latest_end`."""
+        remaining_ms = max(1, int((latest_end - asyncio.get_running_loop().time()) * 1000))
+        wait = str(remaining_ms).encode() if first_line.text_after_wait else b""
+        await server.send_parts([first_line.text_before_wait, wait, first_line.text_after_wait])
+
     async def _read_server_answer(self, server: LineSocket, latest_end: float) -> Result:
         """Read the server's answer to the first line."""
         try:
@@ -564,14 +563,7 @@
             line_socket = self.server = self._listener.sockets.open_to_server()
             async with asyncio.timeout_at(latest_end):
                 await loop.sock_connect(line_socket.sock, address)
-            remaining_ms = max(1, int((latest_end - loop.time()) * 1000))
-            await line_socket.send_parts(
-                [
-                    first_line.text_before_wait,
-                    str(remaining_ms).encode() if first_line.text_after_wait else b"",
-                    first_line.text_after_wait,
-                ]
-            )
+            await self._send_first_line(line_socket, first_line, latest_end)
         except (OSError, TimeoutError):
             return Result.UNREACHABLE
         self._counters.add("dispatches")
