--- a/switchhub/lab/model.py
+++ b/switchhub/lab/model.py
@@ -42,7 +42,8 @@
     STOP_MOVE_BEGIN_FRACTION,
     STOP_MOVE_END_FRACTION,
 )
-from switchhub.net.session import ANSWER_MARGIN_MS, SILENCE_TIMEOUT_MS, SILENT_SERVER_TIMEOUT_MS
+from switchhub.net.request import ANSWER_MARGIN_MS
+from switchhub.net.session import SILENCE_TIMEOUT_MS, SILENT_SERVER_TIMEOUT_MS
 
 EPOCH_MS = 1_000_000.0  # the facade's clock when a run starts
 TICK_INTERVAL_S = 0.02  # between two calls of the decider's `tick`
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -30,14 +30,8 @@
 from switchhub.net.discovery import Discovery
 from switchhub.net.health import ServerHealth
 from switchhub.net.line_socket import LineError, LineSocket, SocketBudget, parse_first_line, stop_reading
-from switchhub.net.session import (
-    ANSWER_MARGIN_MS,
-    CLOSE_TIMEOUT_S,
-    FAILED,
-    Session,
-    final_answer,
-    read_request,
-)
+from switchhub.net.request import ANSWER_MARGIN_MS, FAILED, final_answer, read_request
+from switchhub.net.session import CLOSE_TIMEOUT_S, Session
 
 if TYPE_CHECKING:
     from switchhub.handover.link import ProcessLink
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -19,17 +18,16 @@
 from loguru import logger
 
 from switchhub.admission.controller import AdmissionDecision
-from switchhub.decision.facade import Adopted, Delay, Ended, Left, Load, Pick, Refused, Send, Up
+from switchhub.decision.facade import Adopted, Delay, Ended, Left, Load, Send, Up
 from switchhub.decision.interface import Request, Result
-from switchhub.net.config import Config
 from switchhub.net.health import LoadLineClassifier
 from switchhub.net.line_socket import FirstLine, LineError, LineSocket, parse_first_line, stop_reading
+from switchhub.net.request import ANSWER_MARGIN_MS, FAILED, final_answer, read_request
 
 if TYPE_CHECKING:
     from switchhub.handover.messages import HeldConnection, PassedConnection
     from switchhub.net.listener import Listener
 
-ANSWER_MARGIN_MS = 25.0  # the answer must be ready this long before the client's deadline
 # An attempt that succeeds less than this before the deadline is too late. The time at which the first line
 # arrived is only known in steps of 4 ms, the kernel's clock tick.
 UP_MARGIN_MS = 10.0
@@ -45,16 +43,11 @@
 # Time in which a connection that was open before this process started must be established again.
 ADOPTION_TIMEOUT_S = 38.0
 ADOPTION_RETRY_S = 0.5  # pause between two attempts to do so
-WAIT_MAX_MS = 1e7  # largest valid `d`, the time for which the client waits for an answer
-HINT_MAX = 1e12  # largest valid `h`, the expected load, in microseconds of work per second
 LOGGED_BYTES_MAX = 100  # bytes of a malformed line that are logged
 # How long a handover waits for pending writes; after that the client is moved instead.
 HANDOVER_WRITE_TIMEOUT_S = 0.8
 UNANSWERED_LINES_KEPT = 16  # unanswered lines whose times are kept
 LAST_KEYWORD_RESULTS = {b"BYE": Result.OK, b"MOVE": Result.CANCELLED}  # by keyword of the server's last line
-_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?")
-_FLAGS = {"0": False, "1": True}
-FAILED = b"FAILED\r\n"
 ERR = b"ERR\r\n"  # the answer to anything that is not a valid request
 MOVE = b"MOVE\r\n"
 PING = b"PING\r\n"  # asks whether new clients may connect here
@@ -76,45 +69,6 @@
     EARLY = "early"
 
 
-def _parse_decimal(text: str, maximum: float) -> float:
-    """Parse a plain decimal number; `float` alone would also accept `1_0`, ` 1`, `1e3`, `-1` and `nan`."""
-    if not _DECIMAL.fullmatch(text) or float(text) > maximum:
-        raise ValueError(f"not a decimal number in range: {text[:20]!r}")
-    return float(text)
-
-
-def read_request(first_line: FirstLine, config: Config) -> Request:
-    """Return the request of a first line; raise `LineError` if a value is missing, invalid or unknown."""
-    values = first_line.values
-    try:
-        tenant = config.tenants[values["t"]] if config.tenants else 0
-        class_index = config.classes[values["c"]]
-        wait_ms = _parse_decimal(values["d"], WAIT_MAX_MS)
-        hint = _parse_decimal(values["h"], HINT_MAX) if "h" in values else None
-        # `r` is validated only: it does not affect the decision.
-        returning, _ = _FLAGS[values.get("again", "0")], _FLAGS[values.get("r", "0")]
-    except (KeyError, ValueError) as error:
-        raise LineError(f"{type(error).__name__}: {error}") from None
-    return Request(
-        first_line.id,
-        class_index,
-        wait_ms - ANSWER_MARGIN_MS,
-        tenant,
-        hint,
-        first_line.key,
-        values.get("g"),
-        returning,
-    )
-
-
-def final_answer(pick: Pick) -> tuple[str, bytes]:
-    """Return the outcome to count and the line to send for a pick that is not a server."""
-    if not isinstance(pick, Refused):
-        return "failed", FAILED
-    wait = f" {pick.retry_after:.0f}" if pick.retry_after else ""
-    return "refused", f"BUSY{wait}\r\n".encode()
-
-
 SERVER_FAULT_RESULTS = {  # all other reasons are no fault of the server
     EndReason.SERVER_RESET: Result.RESET,
     EndReason.SILENT: Result.TIMEOUT,
