Net: the queue of set-ups that wait has a module of its own

Cause: listener.py (640 lines) held the queue's two structures, its task and its end beside everything else it owns. Change: net/setup_queue.py, SetupQueue, behaviour as before; the two places that answered a request that still waits are one.

--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -10,12 +10,10 @@
 
 import asyncio
 import contextlib
-import heapq
 import math
 import os
 import socket
 import time
-from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
@@ -32,6 +30,7 @@
 from switchhub.net.line_socket import LineError, LineSocket, SocketBudget, parse_first_line, stop_reading
 from switchhub.net.request import ANSWER_MARGIN_MS, FAILED, final_answer, read_request
 from switchhub.net.session import CLOSE_TIMEOUT_S, Session
+from switchhub.net.setup_queue import SetupQueue
 
 if TYPE_CHECKING:
     from switchhub.handover.link import ProcessLink
@@ -128,12 +127,7 @@
         self.sessions: dict[str, Session] = {}
         self.ids = ConnectionIds()
         self.admission = AdmissionController()
-        # One future for each request that waits for its set-up, in order of arrival; it is set to whether the
-        # set-up may start.
-        self._setup_queue: deque[asyncio.Future[bool]] = deque()
-        # The same requests as a heap: latest start, number, future.
-        self._setup_deadlines: list[tuple[float, int, asyncio.Future[bool]]] = []
-        self._setup_count = 0  # set-ups queued so far; breaks ties in the heap
+        self._setup_queue = SetupQueue(self.admission, self.clock)
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
         inherited_socket = None if handover_receiver is None else handover_receiver.listening_socket
@@ -466,37 +460,9 @@
         """Wait for this request's turn to be set up; return False if `latest_start` passed before that.
 
         `latest_start` is Unix time in milliseconds."""
-        if not self._setup_queue:
-            self._start_task(self._release_setups())
-        may_start: asyncio.Future[bool] = self.loop.create_future()
-        self._setup_queue.append(may_start)
-        self._setup_count += 1
-        heapq.heappush(self._setup_deadlines, (latest_start, self._setup_count, may_start))
-        self.admission.waiting += 1
-        try:
-            return await may_start
-        finally:
-            self.admission.waiting -= 1
-
-    async def _release_setups(self) -> None:
-        """Let waiting requests start in order, a few in each iteration of the event loop.
-
-        Requests past their latest start are notified at once, out of order."""
-        while self._setup_queue:
-            await asyncio.sleep(0)  # requests that are already being set up go first
-            now = self.clock()
-            while self._setup_deadlines and self._setup_deadlines[0][0] < now:
-                may_start = heapq.heappop(self._setup_deadlines)[2]
-                if not may_start.done():
-                    may_start.set_result(False)
-            remaining = self.admission.next_batch(now)
-            while self._setup_queue and (remaining or self._setup_queue[0].done()):
-                may_start = self._setup_queue.popleft()
-                if not may_start.done():
-                    may_start.set_result(True)
-                    remaining -= 1
-        self._setup_deadlines.clear()
-        self.admission.queue_emptied()
+        if self._setup_queue.empty:
+            self._start_task(self._setup_queue.run())
+        return await self._setup_queue.wait(latest_start)
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -637,9 +603,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
         if not successor_confirmed:
             await self._accept_backlog_and_close()
-        for _, _, may_start in self._setup_deadlines:
-            if not may_start.done():
-                may_start.set_result(False)
+        self._setup_queue.refuse_all()
         answer_deadline = self.loop.time() + FINAL_ANSWERS_S
         while self._tasks and self.loop.time() < answer_deadline:
             # Includes requests from the backlog that are read only now.
