Listener: a pause of accepting that meets a closed address does nothing

Callers would see: at most a traceback ("session task failed", ValueError: Invalid file descriptor: -1) in the log of a process that ends; no connection is concerned.

Cause: a link that changes hands as the stop closes the clients' address starts a task that pauses accepting; it runs a turn later, when the socket may be closed.

Change: pause_accepting returns where the socket is closed.

Measured: the test that starts the task and closes the socket in one turn failed before; 102 tests of the races pass.

--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -288,6 +288,8 @@
     async def pause_accepting(self) -> None:
         """Stop accepting; connections that the event loop has already accepted still get a session."""
         self._accepting.clear()
+        if self.sock.fileno() < 0:  # closed at the end of a stop
+            return
         (can_be_cancelled,) = await stop_reading(self)
         if can_be_cancelled and self._accept_task is not None:
             self._accept_task.cancel()
--- a/tests/test_session_races.py
+++ b/tests/test_session_races.py
@@ -381,3 +381,16 @@
         fixture.expected_errors = 1
 
     run_script(tmp_path, script)
+
+
+def test_pause_that_a_link_asks_for_as_the_stop_closes_the_address_does_nothing(tmp_path: Path) -> None:
+    """The event loop raises an error for the closed socket, which was logged with a traceback."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        listener = fixture.listener
+        listener._start_task(listener.pause_accepting())
+        listener.sock.close()
+        while listener._tasks:
+            await asyncio.sleep(0)
+
+    run_script(tmp_path, script)
