Handover: a client that does not read holds up no other connection's handover

Callers saw (an ad-hoc play, real processes, 200 connections, some of whose clients do not read while their server writes): with 4 such clients 135 others were moved instead of passed on, with 8 the old process ended 4.99 s after SIGTERM, where SIGKILL comes after 2.7 s (deadline 2 s).

Cause: connections are passed on in batches of 32, and each batch waited for its slowest, up to 0.8 s for a client that does not take what is being written. So a few of them used up the time of all.

Change: at most 32 are under way at a time; whenever one is done the next one begins.

--- a/switchhub/handover/sender.py
+++ b/switchhub/handover/sender.py
@@ -292,20 +292,25 @@
         return all(sent)
 
     async def pass_on_all(self) -> None:
-        """Pass every established connection on to the newest process, a few at a time.
+        """Pass every established connection on to the newest process, at most `MAX_UNCONFIRMED` at a time.
 
-        Called again until this process ends, for connections that were set up since."""
+        Called again until this process ends, for connections that were set up since. One whose client does
+        not read takes a while; the others do not wait for it."""
         sessions_to_pass = [session for session in self._listener.sessions.values() if session.established]
-        for start in range(0, len(sessions_to_pass), MAX_UNCONFIRMED):
+        under_way: set[asyncio.Task[None]] = set()
+        for session in sessions_to_pass:
+            if len(under_way) >= MAX_UNCONFIRMED:
+                _, under_way = await asyncio.wait(under_way, return_when=asyncio.FIRST_COMPLETED)
             successor = self.successor
             if (
                 successor is None
                 or not successor.can_receive_connections
                 or not await successor.wait_for_room()
             ):
-                return
-            batch = sessions_to_pass[start : start + MAX_UNCONFIRMED]
-            await asyncio.gather(*(self._pass_on(session, successor) for session in batch))
+                break
+            under_way.add(asyncio.create_task(self._pass_on(session, successor)))
+        if under_way:
+            await asyncio.wait(under_way)
 
     async def _pass_on(self, session: Session, successor: ProcessLink) -> None:
         """Pass one connection on; after an unexpected error its client is moved, and the others go on."""
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Iterator
 from pathlib import Path
@@ -17,9 +18,10 @@
 
 from switchhub.handover import messages
 from switchhub.handover.channel import Channel
-from switchhub.handover.link import ProcessLink
+from switchhub.handover.link import MAX_UNCONFIRMED, ProcessLink
 from switchhub.handover.messages import HeldConnection
 from switchhub.handover.sender import HandoverSender
+from switchhub.net import session as session_module
 from switchhub.net.session import Session
 from tests.harness import CONNECTION_IDS, TIMEOUT_S
 from tests.scripted_balancer import BalancerFixture, reset, run_script
@@ -37,6 +39,9 @@
     client: socket.socket
     server: socket.socket
 
+    def server_is_writable(self) -> bool:
+        return bool(select.select([], [self.server], [], 0)[1])
+
     def close(self) -> None:
         self.client.close()
         self.server.close()
@@ -117,6 +122,17 @@
         yield old, link, following
 
 
+async def write_blocks(connection: EstablishedConnection) -> bool:
+    """Let the server write more; return whether neither it nor the balancer can any more."""
+    try:
+        connection.server.send(b"x" * 2000 + b"\r\n")
+    except BlockingIOError:
+        await asyncio.sleep(0.01)
+        return connection.session._sending_to_client and not connection.server_is_writable()
+    await asyncio.sleep(0)
+    return False
+
+
 async def loop_iterations(count: int) -> None:
     """Let the event loop turn so many times."""
     for _ in range(count):
@@ -268,6 +284,36 @@
     run_script(tmp_path, script)
 
 
+def test_client_that_does_not_read_holds_up_no_other_handover(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A few such clients held up the stop: most others were moved instead, and it ended past its time."""
+    monkeypatch.setattr(session_module, "HANDOVER_WRITE_TIMEOUT_S", 2 * TIMEOUT_S)
+
+    async def script(fixture: BalancerFixture) -> None:
+        handover = Handover(fixture)
+        connections = [await establish(fixture) for _ in range(MAX_UNCONFIRMED + 8)]
+        stuck, *others = connections
+        async with asyncio.timeout(TIMEOUT_S):
+            while not await write_blocks(stuck):
+                pass
+            passing = asyncio.create_task(handover.sender.pass_on_all())
+            received: list[str] = []
+            while len(received) < len(others):
+                received += await handover.received_ids()
+                await asyncio.sleep(0)
+            assert sorted(received) == sorted(each.session.id for each in others)
+            assert not passing.done()
+            reset(stuck.client)
+            await passing
+            await asyncio.wait([each.task for each in connections])
+        handover.close()
+        for each in connections:
+            each.close()
+
+    run_script(tmp_path, script)
+
+
 def test_unexpected_error_in_one_handover_moves_that_client_and_passes_the_others_on(tmp_path: Path) -> None:
     """Such an error left the batch, ended the process and cut off every connection not yet passed on."""
 
