--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds what the cases from 6 on need, after the build of the deploy file: the stand-ins are Python and only
-# have to compile; case 10 starts balancers with an operator file, which need the project's declared packages.
+# have to compile; case 9 starts balancers with an operator file, which need the project's declared packages.
 set -e
 cd "$(dirname "$0")/.."
 .venv/bin/python -c "
