--- a/switchhub/lifecycle/move_pacer.py
+++ b/switchhub/lifecycle/move_pacer.py
@@ -18,6 +18,10 @@
         self._counted_until, self._ends_at = starts_at, ends_at
         self._credit = 0.0  # moves due, with the fraction carried over to the next call
 
+    def end_by(self, ends_at: float) -> None:
+        """End at this moment if that is sooner; the connections left are spread over the time until then."""
+        self._ends_at = min(self._ends_at, ends_at)
+
     def due(self, now: float, established: int) -> int:
         """Return how many of the `established` connections are to be moved now."""
         if now >= self._ends_at:
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -578,10 +578,11 @@
             False,
             time.monotonic(),
         )
-        if self._move_pacer is None:  # a drain in progress keeps its own pace
-            self._move_pacer = MovePacer(
-                started + moves_begin_after, started + time_limit * STOP_MOVE_END_FRACTION
-            )
+        moves_end_at = started + time_limit * STOP_MOVE_END_FRACTION
+        if self._move_pacer is None:
+            self._move_pacer = MovePacer(started + moves_begin_after, moves_end_at)
+        else:  # a drain goes on moving at once, but must end before this process does
+            self._move_pacer.end_by(moves_end_at)
         while (now := self.loop.time()) < latest_end and (
             self.sessions
             or self._tasks
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,9 +10,10 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 from switchhub.management.server import MAX_CONNECTIONS
-from tests.harness import ROOT, TIMEOUT_S, BalancerProcess, Client, FakeServer, running_balancer
+from tests.harness import ROOT, TIMEOUT_S, BalancerProcess, Client, FakeServer, running_balancer, settings
 
 MANAGEMENT_PACKAGE = "switchhub.management"
 
@@ -112,6 +113,33 @@
     asyncio.run(run_test())
 
 
+def settings_with_deadline(deadline_ms: float) -> dict[str, Any]:
+    """Return the settings of the tests' deployment with this deadline for every class."""
+    classes = [{**each, "Deadline": deadline_ms} for each in settings()["Classes"]]
+    return settings(Classes=classes)
+
+
+def test_a_stop_soon_after_a_drain_moves_every_client_before_the_process_ends(tmp_path: Path) -> None:
+    """A stop that lasts for less time than the drain's moves cut off those that were not yet due."""
+
+    async def run_test() -> None:
+        deadline_s = 1.2
+        deployment_settings = settings_with_deadline(deadline_s * 1000)
+        async with running_balancer(
+            tmp_path, FakeServer("a"), deployment_settings=deployment_settings, management=True
+        ) as (balancer, _):
+            clients = [await balancer.connect() for _ in range(40)]
+            ends = [asyncio.create_task(client.read_to_end()) for client in clients]
+            await balancer.call("PUT /healthcheck/fail")
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+            balancer.process.terminate()
+            async with asyncio.timeout(deadline_s + 0.7):  # then the process may be killed
+                await balancer.process.wait()
+            assert await asyncio.gather(*ends) == [b"MOVE\r\n"] * len(clients)
+
+    asyncio.run(run_test())
+
+
 def test_a_reload_during_a_drain_does_not_end_it(tmp_path: Path) -> None:
     async def run_test() -> None:
         async with running_balancer(tmp_path, FakeServer("a"), management=True) as (balancer, discovery):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -104,6 +105,19 @@
     assert established == 0 or pacer.due(3.0, established) == established
 
 
+@pytest.mark.parametrize(("ends_at", "moved_by"), [(2.0, 2.0), (5.0, 3.0)])
+def test_an_earlier_end_hastens_the_moves_and_a_later_one_does_not_delay_them(
+    ends_at: float, moved_by: float
+) -> None:
+    """Without this, a drain that a stop cuts short still moves its clients when the process has ended."""
+    pacer, established = MovePacer(0.0, 3.0), 100
+    established -= pacer.due(1.0, established)
+    pacer.end_by(ends_at)
+    established -= pacer.due((1.0 + moved_by) / 2, established)
+    assert 25 <= established <= 40, "the moves stay spread out"
+    assert pacer.due(moved_by, established) == established
+
+
 def test_connections_established_after_the_end_move_at_once() -> None:
     pacer = MovePacer(0.0, 1.0)
     assert pacer.due(1.5, 0) == 0
