Session: a connection still established at the end of a stop is told to move

Cause: Session.end_for_stop only set the end's reason; a connection that came up after the last moves of a stop, in the 20 ms until the next housekeeping or in the last 0.1 s, was cut off without MOVE. Change: it moves whoever is established, as a forced move does; open requests are answered FAILED as before. Test, seen failing before (no MOVE): test_connection_still_established_at_the_end_of_a_stop_is_moved. It passes now.

--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -708,7 +708,10 @@
             self._end(EndReason.MOVED)
 
     def end_for_stop(self) -> None:
-        """End this session because the balancer stops; a request that is still open is answered `FAILED`."""
+        """End this session because the balancer stops: its client is moved, or its open request answered
+        `FAILED`."""
+        if self.established:
+            self.move(at_once=True)
         self._end(EndReason.STOPPED)
 
     def longest_wait(self, now: float) -> float:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -102,6 +102,19 @@
     asyncio.run(run())
 
 
+def test_connection_still_established_at_the_end_of_a_stop_is_moved() -> None:
+    """One that came up after the last moves of a stop was cut off without `MOVE`."""
+
+    async def run() -> None:
+        fixture = EstablishedSession()
+        fixture.session.end_for_stop()
+        assert fixture.received() == b"MOVE\r\n"
+        assert fixture.session._end_reason.done()
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_request_unread_when_its_idle_client_is_released_is_still_read() -> None:
     """A client released as idle after 20 ms had its whole request unread in the kernel, and was reset."""
 
