--- a/switchhub/decision/facade.py
+++ b/switchhub/decision/facade.py
@@ -99,7 +99,11 @@
 
 
 class ServerListLost(NamedTuple):
-    """A call to discovery failed, or a watch broke off."""
+    """A call to discovery failed, or a watch broke off.
+
+    `refused`: discovery answered that it does not serve the call, or the reason is not known."""
+
+    refused: bool = True
 
 
 Observation = Adopted | Up | Ended | Left | Load | Delay | ServerList | ServerListLost
@@ -164,7 +168,7 @@
         if isinstance(observation, ServerList):
             self._handle(now, api.ServerListChanged(observation.kind, observation.servers))
         elif isinstance(observation, ServerListLost):
-            self._handle(now, api.ServerListFailed())
+            self._handle(now, api.ServerListFailed(observation.refused))
         elif isinstance(observation, Adopted):
             tracked = self._requests[observation.request.id] = _TrackedRequest()
             tracked.attempt, tracked.server = 0, observation.server
--- a/switchhub/decision/interface.py
+++ b/switchhub/decision/interface.py
@@ -232,7 +232,11 @@
 
 
 class ServerListFailed(NamedTuple):
-    """A call for the server list failed, or the watch broke off; the list as known stays valid."""
+    """A call for the server list failed, or the watch broke off; the list as known stays valid.
+
+    `refused`: discovery answered that it does not serve the call, or the reason is not known."""
+
+    refused: bool = True
 
 
 class DiscoveryChanged(NamedTuple):
--- a/switchhub/decision/placement.py
+++ b/switchhub/decision/placement.py
@@ -1,7 +1,8 @@
-"""All decisions of one balancer: placement, load limits, ejection, moves and retries of discovery calls.
+"""All decisions of one balancer: placement, load limits, ejection and moves.
 
-Its settings, events and actions are defined in `switchhub/decision/interface.py`. It does no I/O and reads
-no clock. Times are milliseconds, loads are microseconds of work a second on a standard core.
+Its settings, events and actions are defined in `switchhub/decision/interface.py`; when to call discovery
+again is decided in `switchhub/decision/discovery_retry.py`. It does no I/O and reads no clock. Times are
+milliseconds, loads are microseconds of work a second on a standard core.
 
 For each server the balancer keeps a sum: the load hints of the connections that it placed there, or that
 were already open when it started, until they end. A new connection goes to the server where the sum plus
@@ -22,6 +23,7 @@
 from random import Random
 from typing import Any
 
+from switchhub.decision.discovery_retry import DiscoveryRetry
 from switchhub.decision.interface import (
     Action,
     Attempt,
@@ -83,11 +85,6 @@
 LIMIT_CUT_FRACTION = 0.2  # of the limit, taken off by a delay that misses the message aim
 STALL_DELAY_MS = 1000.0  # a delay from which on a server counts as stalled: its limit becomes 0
 RETRY_TIMER_TOKEN = 1  # the only timer: call discovery again
-RETRY_BASE_MS = 1500.0  # longest wait after the first failed call
-RETRY_MAX_MS = 4000.0  # longest wait, unless failed calls waited in discovery's queue
-DISCOVERY_CALL_WORK_MS = 250.0  # time that one call takes discovery in the worst case
-QUEUED_CALL_MS = 900.0  # a call that fails after this time or more has waited in discovery's queue
-QUEUED_CALLS_BEFORE_BACKOFF = 3  # failed calls after which queued ones double the wait
 MOVE_RATE_PER_S = 0.07  # fraction of its connections that a balancer moves at most
 # A sparse balancer has at most one connection per server. It moves the first fraction of its connections,
 # divided by the price of a move, but never more than the second.
@@ -192,8 +189,7 @@
         self._mean_hint = 0.0
         self._setup_time = self._setup_deviation = 0.0  # of successful set-ups: mean, and mean deviation
         self._shortest_message_aim = min((each.message_aim for each in settings.classes), default=0.0)
-        self._watching, self._failed_calls, self._discovery_queued = False, 0, False
-        self._called_at = 0.0  # when the server list was last requested or received
+        self._discovery_retry = DiscoveryRetry(settings.fleet_size, settings.watch_retry_within, self._random)
         self._overload_at = -math.inf  # when a server last signalled overload
         self._sparse_move_rate = SPARSE_MOVE_BUDGET_PER_S / max(
             settings.move_price, SPARSE_MOVE_BUDGET_PER_S / SPARSE_MOVE_RATE_MAX_PER_S
@@ -230,7 +226,8 @@
 
     def start(self, now: float) -> list[Action]:
         """The first actions, before any event."""
-        self._now = self._called_at = now
+        self._now = now
+        self._discovery_retry.record_call(now)
         return [WatchServerList()] if self._settings.must_watch_server_list else []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -868,13 +865,13 @@
     # The server list, and loads as reported.
 
     def _on_timer(self, _event: TimerFired) -> None:
-        self._called_at = self._now
+        self._discovery_retry.record_call(self._now)
         self._actions.append(WatchServerList())
 
     def _on_server_list_changed(self, event: ServerListChanged) -> None:
-        self._called_at = self._now
+        self._discovery_retry.record_call(self._now)
         if event.kind not in (ServerListKind.REMEMBERED, ServerListKind.LEAVING):
-            self._watching, self._failed_calls, self._discovery_queued = True, 0, False
+            self._discovery_retry.record_answer()
         if event.kind not in (ServerListKind.CHANGES, ServerListKind.LEAVING):
             named = {server.id for server in event.servers}
             for record in self._records.values():
@@ -909,47 +906,13 @@
             self._actions.append(Move(connection.request.id))
 
     def _on_discovery_changed(self, _event: DiscoveryChanged) -> None:
-        """Forget failed calls.
+        self._discovery_retry.record_new_address(self._now)
 
-        Failures in one discovery's queue would delay the calls to the next one, until after the time at
-        which the balancer counts as knowing its list.
-        """
-        self._watching, self._failed_calls, self._discovery_queued, self._called_at = (
-            False,
-            0,
-            False,
-            self._now,
-        )
-
-    def _on_server_list_failed(self, _event: ServerListFailed) -> None:
-        """Set the timer for the next call to discovery, with exponential backoff and jitter.
-
-        Discovery serves all balancers from one queue, and works through calls that their callers have given
-        up too. Calls repeated at once would keep the queue full of such calls, and none would be served
-        again. After a failure that took so long that the call was in that queue, the next call therefore
-        waits longer, and from the fourth failure on each doubles the wait. All other waits stay short: a
-        balancer counts as knowing what discovery knows 6 s after discovery can be reached, which leaves
-        time for a wait of 4 s and a call, but not for a wait and a call that is held in the queue as well.
-        """
-        self._discovery_queued |= not self._watching and self._now - self._called_at >= QUEUED_CALL_MS
-        self._failed_calls += 1
-        if self._watching or self._failed_calls == 1:
+    def _on_server_list_failed(self, event: ServerListFailed) -> None:
+        """Set the timer for the next call to discovery."""
+        if self._discovery_retry.record_failure(self._now, event.refused):
             self._actions.append(Note("roster lost, asking again"))
-        self._watching = False
-        failed = min(self._failed_calls, 9)  # bounds the exponent below
-        if self._discovery_queued and failed > QUEUED_CALLS_BEFORE_BACKOFF:
-            # No longer than the calls of all balancers take, one after another.
-            longest = min(
-                3 * self._settings.watch_retry_within, DISCOVERY_CALL_WORK_MS * self._settings.fleet_size
-            )
-            wait = min(RETRY_MAX_MS * 2 ** (failed - 2), max(RETRY_MAX_MS, longest))
-        else:
-            wait = (
-                RETRY_MAX_MS
-                if self._discovery_queued
-                else min(RETRY_BASE_MS * 2 ** (failed - 1), RETRY_MAX_MS)
-            )
-        self._actions.append(SetTimer(RETRY_TIMER_TOKEN, wait * self._random.uniform(0.3, 1.0)))
+        self._actions.append(SetTimer(RETRY_TIMER_TOKEN, self._discovery_retry.next_wait()))
 
     def _on_load_reported(self, event: LoadReported) -> None:
         """Count the connection with its present load in place of its hint, which is only a rough average."""
--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -57,6 +57,10 @@
     """A call to discovery failed."""
 
 
+class CallRefusedError(DiscoveryError):
+    """Discovery answered with another status than 200."""
+
+
 class _ResponseReader:
     """Collects one HTTP response; once its body has begun, it must end within `BODY_TIMEOUT_S`."""
 
@@ -172,7 +176,8 @@
                 self._counters.add("discovery.failed")
                 if isinstance(error, ListingError):
                     self._apply_rejected(error)
-                self._facade.report(self._clock(), ServerListLost())
+                refused = isinstance(error, CallRefusedError)
+                self._facade.report(self._clock(), ServerListLost(refused))
         finally:
             if self._watch_task is not None:
                 self._watch_task.cancel()
@@ -277,7 +282,7 @@
         if not keep_alive:
             self._close()
         if status != 200:
-            raise DiscoveryError(f"status {status}")
+            raise CallRefusedError(f"status {status}")
         try:
             data: Any = json.loads(response.body)
         except (ValueError, RecursionError) as error:
