--- a/switchhub/net/discovery.py
+++ b/switchhub/net/discovery.py
@@ -54,11 +54,13 @@
 
 
 class DiscoveryError(Exception):
-    """A call to discovery failed."""
+    """A call to discovery failed.
 
+    `refused`: discovery answered with another status than 200."""
 
-class CallRefusedError(DiscoveryError):
-    """Discovery answered with another status than 200."""
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class _ResponseReader:
@@ -176,7 +178,7 @@
                 self._counters.add("discovery.failed")
                 if isinstance(error, ListingError):
                     self._apply_rejected(error)
-                refused = isinstance(error, CallRefusedError)
+                refused = isinstance(error, DiscoveryError) and error.refused
                 self._facade.report(self._clock(), ServerListLost(refused))
         finally:
             if self._watch_task is not None:
@@ -282,7 +284,7 @@
         if not keep_alive:
             self._close()
         if status != 200:
-            raise CallRefusedError(f"status {status}")
+            raise DiscoveryError(f"status {status}", refused=True)
         try:
             data: Any = json.loads(response.body)
         except (ValueError, RecursionError) as error:
