First line: of many fields only those that are read are kept, until the answer

Cause: parse_first_line kept a dictionary of all fields, and the parsed line lived in the frame of Session.run through the relay. Change: only the eight values that are read are kept; Session._serve_request holds the line until the request is answered.

--- a/switchhub/net/line_socket.py
+++ b/switchhub/net/line_socket.py
@@ -26,6 +26,9 @@
 SCARCE_IDLE_GRACE_S = 0.02  # the same while sockets are scarce
 SPARE_SOCKETS = 4  # sockets are scarce when fewer than these are left
 _DISCARD_BUFFER = memoryview(bytearray(65536))  # shared target for bytes that are read and discarded
+# Names of the values that are kept of a first line. A line may have a thousand others, and objects for all of
+# them would take twenty times the memory of the line itself.
+FIELDS_READ = frozenset(("again", "at", "c", "d", "g", "h", "r", "t"))
 _TOKEN = re.compile(r"[0-9A-Za-z._/-]{1,64}")  # a connection id or a key
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _LF = 10
@@ -329,6 +332,7 @@
     id: str
     key: str
     values: dict[str, str]
+    """The values that this program reads (`FIELDS_READ`)."""
     text_before_wait: bytes
     text_after_wait: bytes
     """The line's bytes before and after the value of `d`; without `d`, the first holds the whole line."""
@@ -350,13 +354,16 @@
     ):
         raise LineError("line is not of the form OPEN ID KEY VALUES")
     values: dict[str, str] = {}
+    names: set[str] = set()
     offset = len(raw) - 2 - len(parts[3])
     wait_span = (len(raw), len(raw))
     for part in parts[3].split(","):
         name, separator, value = part.partition("=")
-        if not name or not separator or name in values or not part.isprintable():
+        if not name or not separator or name in names or not part.isprintable():
             raise LineError(f"invalid or repeated name=value pair: {part[:40]!r}")
-        values[name] = value
+        names.add(name)
+        if name in FIELDS_READ:
+            values[name] = value
         if name == "d":
             wait_span = (offset + 2, offset + len(part))
         offset += len(part) + 1
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -108,36 +108,7 @@
         """Serve this client to the end of its connection and release all sockets."""
         reset = False
         try:
-            line = await self._read_first_line()
-            if line is None:
-                return
-            age, round_trip = self.client.receive_timing()
-            self._arrived_at = self._clock() - age
-            first_line = parse_first_line(line)
-            request = read_request(first_line, self._listener.config)
-            self._deadline = self._arrived_at + request.budget + ANSWER_MARGIN_MS - round_trip
-            if len(self.client.unread()) > len(line):
-                raise LineError("client sent more before its answer")
-            if not self._listener.ids.reserve(request.id):
-                raise LineError("connection id is in use or was used recently")
-            self.client.consume(len(line))
-            self.id, self._class_name, self._tenant = (
-                request.id,
-                first_line.values["c"],
-                first_line.values.get("t", ""),
-            )
-            self.request = request
-            self._load_lines = LoadLineClassifier(request.hint or 0.0)
-            self._listener.sessions[request.id] = self
-            self._counters.add("requests.taken")
-            logger.debug("{} taken: key {} {}", first_line.id, first_line.key, first_line.values)
-            # `at` names the server of a connection that was open before this process started.
-            if "at" not in first_line.values:
-                request = await self._await_admission(request)
-            self._client_reader = asyncio.create_task(self._relay_from_client())
-            set_up = self._adopt if "at" in first_line.values else self._set_up
-            if await set_up(first_line, request):
-                self._counters.count_answer(self._class_name, "served")
+            if await self._serve_request():
                 reset = await self._relay()
         except LineError as error:
             logger.debug(
@@ -164,6 +135,49 @@
         finally:
             self._release_sockets(reset)
 
+    async def _serve_request(self) -> bool:
+        """Read the client's request and answer it; return whether the connection is established.
+
+        Nothing of the first line is held once this returns, which may be long before the connection ends.
+        Raises `LineError` if the request is malformed, `TimeoutError` if it does not come in time."""
+        line = await self._read_first_line()
+        if line is None:
+            return False
+        first_line, request = self._take_request(line)
+        del line
+        # `at` names the server of a connection that was open before this process started.
+        adopting = "at" in first_line.values
+        if not adopting:
+            request = await self._await_admission(request)
+        self._client_reader = asyncio.create_task(self._relay_from_client())
+        set_up = self._adopt if adopting else self._set_up
+        established = await set_up(first_line, request)
+        if established:
+            self._counters.count_answer(self._class_name, "served")
+        return established
+
+    def _take_request(self, line: memoryview) -> tuple[FirstLine, Request]:
+        """Parse the first line, which is owed an answer from here on.
+
+        Raises `LineError` if it is malformed or its id is taken."""
+        age, round_trip = self.client.receive_timing()
+        self._arrived_at = self._clock() - age
+        first_line = parse_first_line(line)
+        request = read_request(first_line, self._listener.config)
+        self._deadline = self._arrived_at + request.budget + ANSWER_MARGIN_MS - round_trip
+        if len(self.client.unread()) > len(line):
+            raise LineError("client sent more before its answer")
+        if not self._listener.ids.reserve(request.id):
+            raise LineError("connection id is in use or was used recently")
+        self.client.consume(len(line))
+        self.id, self.request = request.id, request
+        self._class_name, self._tenant = first_line.values["c"], first_line.values.get("t", "")
+        self._load_lines = LoadLineClassifier(request.hint or 0.0)
+        self._listener.sessions[request.id] = self
+        self._counters.add("requests.taken")
+        logger.debug("{} taken: key {} {}", first_line.id, first_line.key, first_line.values)
+        return first_line, request
+
     def _release_sockets(self, reset: bool) -> None:
         if self._client_reader is not None:
             self._client_reader.cancel()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,7 @@
         "drain",
         "fleet",
         "handover",
+        "hostile_clients",
         "discovery_retry",
         "live",
         "listing",
