Peers: unfinished messages of all incoming connections together are bounded

Change: what all unfinished messages hold is counted; past 4 MiB the connection that goes over it is closed, counted as too_long. Test, seen failing before: the ninth connection of 1 MB is still read.

--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -55,6 +55,7 @@
 MAX_DATAGRAMS_PER_READ = 64  # datagrams read before the event loop runs anything else
 MAX_INCOMING_CONNECTIONS = 32
 MAX_OUTGOING_CONNECTIONS = 16
+MAX_INCOMING_BYTES = 4 * MAX_FULL_STATE_BYTES  # unfinished messages of all incoming connections together
 CONNECTION_TIMEOUT = 2.0  # seconds for one connection, from opening to closing
 BIND_RETRY_DELAY = 0.1  # seconds until an address that is in use is tried again
 MAX_NAME_BYTES = 48  # bytes of a balancer's name
@@ -110,6 +111,7 @@
         self._udp: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._open_sends = 0
+        self._incoming_bytes = 0  # of messages that are not complete yet
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._joined_at = 0.0
@@ -514,7 +516,8 @@
             async with asyncio.timeout(CONNECTION_TIMEOUT):
                 while chunk := await self._loop.sock_recv(sock, 65536):
                     data += chunk
-                    if len(data) > MAX_FULL_STATE_BYTES:
+                    self._incoming_bytes += len(chunk)
+                    if len(data) > MAX_FULL_STATE_BYTES or self._incoming_bytes > MAX_INCOMING_BYTES:
                         break
                 else:
                     self.counts["wholes_in"] += 1
@@ -525,6 +528,7 @@
         except (OSError, TimeoutError):
             self.counts["not_heard"] += 1
         finally:
+            self._incoming_bytes -= len(data)
             with contextlib.suppress(OSError):
                 sock.close()
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -29,9 +29,16 @@
 )
 from switchhub.membership.swim import MAX_UPDATES, Membership, Options
 from switchhub.operator_file import LeaseSettings, OperatorFileError, PeerSettings, read_operator_file
-from switchhub.peers.codec import MAX_DATAGRAM_BYTES, VERSION, RejectedMessageError, pack, unpack
+from switchhub.peers.codec import (
+    MAX_DATAGRAM_BYTES,
+    MAX_FULL_STATE_BYTES,
+    VERSION,
+    RejectedMessageError,
+    pack,
+    unpack,
+)
 from switchhub.peers.lease_handle import LeaseHandle
-from switchhub.peers.node import PeerNode
+from switchhub.peers.node import MAX_INCOMING_BYTES, PeerNode
 
 ROOT = Path(__file__).parent.parent
 names = st.text(min_size=1, max_size=16)
@@ -238,3 +245,33 @@
         assert await asyncio.wait_for(waiter, 5.0) == 7
 
     asyncio.run(scenario())
+
+
+def test_unfinished_messages_of_all_connections_together_are_bounded() -> None:
+    """Each of 48 connections that stopped half way through 1 MB held that much until its time-out."""
+
+    async def scenario() -> None:
+        (port,) = free_ports("127.0.0.1", 1)
+        node = PeerNode(PeerSettings(cluster="x", listen=f"127.0.0.1:{port}", seeds=[]), "n0")
+        writers: list[asyncio.StreamWriter] = []
+        try:
+            node.on_phase_change(Phase.READY)
+            async with asyncio.timeout(10.0):
+                while not node.counts["too_long"]:
+                    try:
+                        _, writer = await asyncio.open_connection("127.0.0.1", port)
+                    except OSError:  # it does not listen yet
+                        await asyncio.sleep(0.01)
+                        continue
+                    writer.write(b"x" * (MAX_FULL_STATE_BYTES - 1))
+                    writers.append(writer)
+                    assert len(writers) <= 2 * MAX_INCOMING_BYTES // MAX_FULL_STATE_BYTES
+                    await asyncio.sleep(0.05)
+                for writer in writers:
+                    writer.close()
+                while node._incoming_bytes:
+                    await asyncio.sleep(0.01)
+        finally:
+            node.close()
+
+    asyncio.run(scenario())
