Leases: what one call or message costs does not grow with the names that are held

Cause: each call made the status of all names to return one, in the clients' event loop; each message and turn looked at all names for the next deadline; tokens of names once used were kept for good.

--- a/switchhub/leases/proposer.py
+++ b/switchhub/leases/proposer.py
@@ -11,11 +11,12 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from switchhub.leases.config import TOKEN_JUMP, LeaseConfig, hash_grant
+from switchhub.leases.config import MAX_TRACKED_LEASES, TOKEN_JUMP, LeaseConfig, hash_grant
 from switchhub.leases.messages import (
     Message,
     OutgoingMessage,
@@ -36,6 +37,7 @@
 RESEND_DELAY = 0.15  # seconds until a request is resent once: one lost message must not fail an attempt
 RETRY_INTERVAL = 0.1  # seconds, shortest time between two attempts; unit of random delays and of backoff
 MAX_RELEASE_ATTEMPTS = 30  # sends of one release to the voters that have not acknowledged it
+MAX_KNOWN_TOKENS = 2 * MAX_TRACKED_LEASES  # leases whose highest token a proposer remembers individually
 MAX_REPAIRS_PER_REPLY = 32  # leases that are proposed again to one voter after one of its renewal replies
 
 
@@ -77,6 +79,17 @@
     first_token: int = 0  # the token with which the present hold began; it may have been raised since
     attempts: int = 0
     is_weak: bool = False  # held, but less than half of its length remains
+    scheduled_at: float = math.inf  # when `turn` looks at this lease next
+
+    @property
+    def due(self) -> float:
+        """When something has to be done for this lease."""
+        due = math.inf if self.held is None else self.held.valid_until
+        if self.pending is not None:
+            return min(due, self.pending.reply_deadline, self.pending.resend_at)
+        # The next attempt is left out while a proposal is pending: it may then be in the past, and the caller
+        # would call `turn` in a loop without a pause.
+        return due if self.held is not None else min(self.next_attempt_at, self.resend_at)
 
     @property
     def state(self) -> str:
@@ -107,7 +120,12 @@
         self.out: list[OutgoingMessage] = []
         self.events: list[Event] = []
         self.wanted: dict[str, WantedLease] = {}
-        self.known_tokens: dict[str, int] = {}  # the highest token seen, by lease
+        # The highest token seen, by lease; the lease that was noted last is the last one.
+        self.known_tokens: dict[str, int] = {}
+        self._forgotten_token = 0  # the highest token of the leases that are not in `known_tokens` any more
+        # Heap of `scheduled_at` and the lease's name, so that the cost of a message does not grow with the
+        # number of leases. An entry is out of date if the lease is scheduled for another time.
+        self._schedule: list[tuple[float, str]] = []
         self._random = RandomSource(seed)
         self._seq = 0
         self._pending_releases: list[PendingRelease] = []
@@ -122,6 +140,7 @@
         """Start to acquire the lease, and keep it until `release`. Does nothing if it is wanted already."""
         if lease not in self.wanted:
             self.wanted[lease] = WantedLease(lease, now)
+            self._schedule_turn(self.wanted[lease])
 
     def release(self, lease: str, now: float, successor: str = "", address: str = "") -> None:
         """Release the lease, or transfer it to the successor at `address`; it is not held from now on."""
@@ -171,23 +190,44 @@
 
     def deadline(self) -> float:
         """Return the latest time at which `turn` has to be called; infinity if nothing is due."""
-        due = min(self._renew_at, self._resend_renewal_at)
-        for wanted in self.wanted.values():
-            if wanted.pending is not None:
-                due = min(due, wanted.pending.reply_deadline, wanted.pending.resend_at)
-            if wanted.held is not None:
-                due = min(due, wanted.held.valid_until)
-            elif wanted.pending is None:
-                # Left out while a proposal is pending: they may then be in the past, and the caller would
-                # call `turn` in a loop without a pause.
-                due = min(due, wanted.next_attempt_at, wanted.resend_at)
+        due = min(self._renew_at, self._resend_renewal_at, self._next_scheduled())
         for pending_release in self._pending_releases:
             due = min(due, pending_release.resend_at)
         return due
 
+    def _next_scheduled(self) -> float:
+        """Return when the first lease is due; those that are due later than before are scheduled anew."""
+        while self._schedule:
+            scheduled_at, lease = self._schedule[0]
+            wanted = self.wanted.get(lease)
+            if wanted is None or wanted.scheduled_at != scheduled_at:  # released, or scheduled for earlier
+                heapq.heappop(self._schedule)
+            elif wanted.due == scheduled_at:
+                return scheduled_at
+            else:
+                heapq.heappop(self._schedule)
+                wanted.scheduled_at = math.inf
+                self._schedule_turn(wanted)
+        return math.inf
+
+    def _schedule_turn(self, wanted: WantedLease) -> None:
+        """Have `turn` look at this lease when it is due, or earlier if it was due earlier before."""
+        if (due := wanted.due) < wanted.scheduled_at:
+            wanted.scheduled_at = due
+            heapq.heappush(self._schedule, (due, wanted.lease))
+
+    def _take_scheduled(self, now: float) -> list[WantedLease]:
+        """Remove the leases that are due from the schedule, and return them."""
+        taken = []
+        while self._next_scheduled() <= now:
+            _, lease = heapq.heappop(self._schedule)
+            self.wanted[lease].scheduled_at = math.inf
+            taken.append(self.wanted[lease])
+        return taken
+
     def turn(self, now: float) -> None:
         """Do what is due: expire, propose, resend, renew and release leases."""
-        for wanted in list(self.wanted.values()):
+        for wanted in self._take_scheduled(now):
             if wanted.held is not None and now >= wanted.held.valid_until:
                 self._lose(wanted, now)
             if wanted.pending is not None and now >= wanted.pending.reply_deadline:
@@ -198,6 +238,7 @@
                 else:
                     self._request_status(wanted, now)
             self._resend(wanted, now)
+            self._schedule_turn(wanted)
         if now >= self._renew_at:
             self._renew(now)
         if now >= self._resend_renewal_at:
@@ -256,12 +297,8 @@
             self._send_status_request(voter, wanted)
 
     def _send_status_request(self, voter: str, wanted: WantedLease) -> None:
-        self._send(
-            voter,
-            StatusRequest(
-                wanted.status_seq, self.identity, wanted.lease, self.known_tokens.get(wanted.lease, 0)
-            ),
-        )
+        known_token = self.known_tokens.get(wanted.lease, self._forgotten_token)
+        self._send(voter, StatusRequest(wanted.status_seq, self.identity, wanted.lease, known_token))
 
     def _propose(self, wanted: WantedLease, now: float, token: int) -> None:
         self._seq += 1
@@ -373,9 +410,24 @@
             for pending_release in self._pending_releases:
                 if pending_release.seq == message.seq:
                     pending_release.unacknowledged.discard(voter)
+        if isinstance(message, TransferNotice | StatusReply | ProposeReply) and message.lease in self.wanted:
+            self._schedule_turn(self.wanted[message.lease])
 
     def _note_token(self, lease: str, token: int) -> None:
-        self.known_tokens[lease] = max(token, self.known_tokens.get(lease, 0))
+        self.known_tokens[lease] = max(token, self.known_tokens.pop(lease, 0))
+        if len(self.known_tokens) > MAX_KNOWN_TOKENS:
+            self._forget_known_token()
+
+    def _forget_known_token(self) -> None:
+        """Stop keeping the token of the lease that was noted longest ago, unless it is wanted.
+
+        The highest of such tokens is kept for all of them, so that the voters are told of no lower one."""
+        oldest = next(iter(self.known_tokens))
+        token = self.known_tokens.pop(oldest)
+        if oldest in self.wanted:
+            self.known_tokens[oldest] = token
+        else:
+            self._forgotten_token = max(token, self._forgotten_token)
 
     def _on_status_reply(self, message: StatusReply, voter: str, now: float) -> None:
         wanted = self.wanted.get(message.lease)
--- a/switchhub/leases/service.py
+++ b/switchhub/leases/service.py
@@ -15,6 +15,8 @@
 
 from __future__ import annotations
 
+import math
+
 from switchhub.leases.config import LeaseConfig
 from switchhub.leases.messages import (
     Message,
@@ -56,7 +58,8 @@
             self.voter = Voter(identity, config, now, token_floor, persists_tokens, same_electorate)
         self.out: list[OutgoingMessage] = []
         self.log_lines: list[str] = []
-        self._external_expiry: dict[str, float] = {}  # by name, when a hold ends unless renewed
+        # By name, when a hold ends unless renewed; the first to end is the first one.
+        self._external_expiry: dict[str, float] = {}
         self._slots: dict[str, int] = {}  # by name with slots, the slot that is wanted
         self._random = RandomSource(seed)
         self._requested_releases: dict[str, tuple[str, str]] = {}  # by lease: successor, its address
@@ -69,6 +72,7 @@
         if lease in self._requested_releases:
             return
         if lease in self._external_expiry or len(self._external_expiry) < MAX_EXTERNAL_HOLDS:
+            self._external_expiry.pop(lease, None)
             self._external_expiry[lease] = now + EXTERNAL_HOLD_TIMEOUT
             self.acquire(lease, now)
 
@@ -147,15 +151,15 @@
 
     def deadline(self) -> float:
         """Return the latest time at which `turn` has to be called; infinity if nothing is due."""
-        due = min([self.proposer.deadline(), *self._external_expiry.values()])
+        due = min(self.proposer.deadline(), next(iter(self._external_expiry.values()), math.inf))
         return due if self.voter is None else min(due, self.voter.deadline())
 
     def turn(self, now: float) -> None:
         """Do what is due, including the release of external holds that were not renewed."""
-        for lease, expiry in list(self._external_expiry.items()):
-            if now >= expiry:
-                self.log_lines.append(f"{lease}: no call from its command in time, releasing it")
-                self.release_external(lease, now)
+        while self._external_expiry and now >= next(iter(self._external_expiry.values())):
+            lease = next(iter(self._external_expiry))
+            self.log_lines.append(f"{lease}: no call from its command in time, releasing it")
+            self.release_external(lease, now)
         self.proposer.turn(now)
         if self.voter is not None:
             self.voter.turn(now)
@@ -193,8 +197,7 @@
     def lease_status(self, name: str, now: float) -> dict[str, object]:
         """Return the status of one name, as in `lease_statuses`; the state is `unknown` if there is none."""
         lease = self.lease_for(name)
-        rows = [row for row in self.lease_statuses(now) if row["name"] == lease]
-        return rows[0] if rows else _status_row(lease, "", 0, 0, False, "unknown")
+        return self._status(lease, now) or _status_row(lease, "", 0, 0, False, "unknown")
 
     def lease_statuses(self, now: float) -> list[dict[str, object]]:
         """Return the status of each lease that this balancer wants or has voted for, sorted by name.
@@ -202,25 +205,26 @@
         For a lease that this balancer holds, `token` is the one with which the hold began: it changes only if
         somebody else may have held the lease in between.
         """
-        rows: dict[str, dict[str, object]] = {}
-        if self.voter is not None:
-            for lease, grant in self.voter.grants.items():
-                if now < grant.valid_until:
-                    remaining_ms = round((grant.valid_until - now) * 1000)
-                    rows[lease] = _status_row(
-                        lease, grant.successor or grant.holder, grant.token, remaining_ms, False, "voted for"
-                    )
-        for lease, wanted in self.proposer.wanted.items():
-            is_held = self.proposer.held_token(lease, now) is not None
+        voted_for = set() if self.voter is None else set(self.voter.grants)
+        statuses = (self._status(lease, now) for lease in sorted(voted_for | set(self.proposer.wanted)))
+        return [status for status in statuses if status is not None]
+
+    def _status(self, lease: str, now: float) -> dict[str, object] | None:
+        """Return the status of one lease; None if it is neither wanted nor voted for here."""
+        wanted = self.proposer.wanted.get(lease)
+        if wanted is not None and self.proposer.held_token(lease, now) is not None:
             remaining_ms = round(self.proposer.remaining(lease, now) * 1000)
-            if is_held:
-                rows[lease] = _status_row(
-                    lease, self.identity.name, wanted.first_token, remaining_ms, True, wanted.state
-                )
-            else:
-                known = rows.get(lease, {"holder": "", "token": 0, "remaining_ms": 0})
-                rows[lease] = {**known, "name": lease, "mine": False, "state": wanted.state}
-        return [rows[lease] for lease in sorted(rows)]
+            return _status_row(
+                lease, self.identity.name, wanted.first_token, remaining_ms, True, wanted.state
+            )
+        state = "voted for" if wanted is None else wanted.state
+        grant = None if self.voter is None else self.voter.grants.get(lease)
+        if grant is not None and now < grant.valid_until:
+            remaining_ms = round((grant.valid_until - now) * 1000)
+            return _status_row(
+                lease, grant.successor or grant.holder, grant.token, remaining_ms, False, state
+            )
+        return None if wanted is None else _status_row(lease, "", 0, 0, False, state)
 
 
 def _status_row(
--- a/switchhub/peers/node.py
+++ b/switchhub/peers/node.py
@@ -114,6 +114,7 @@
         self._incoming_bytes = 0  # of messages that are not complete yet
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
+        self._turn_requested = False  # by a management call, and not run yet; lock
         self._joined_at = 0.0
         self._loop = uvloop.new_event_loop()
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
@@ -219,12 +220,25 @@
                 address = member.latest.address if member is not None else ""
                 if not leases.request_release(name, now, successor, address):
                     return 409, f"{name!r} is not requested through this balancer\n"
-            self._loop.call_soon_threadsafe(self._run_timers)
+            self._request_turn()
             # A command that gets no further answer acts for this long, so the lease is not released sooner.
             row = {**leases.lease_status(name, now), "ends": leases.release_requested(name)}
             row = {**row, "remaining_ms": min(int(str(row["remaining_ms"])), MAX_REPORTED_REMAINING_MS)}
             return 200, json.dumps(row) + "\n"
 
+    def _request_turn(self) -> None:
+        """Have the node's thread do what is due; many calls in a row lead to one turn.
+
+        The lock must be held."""
+        if not self._turn_requested:
+            self._turn_requested = True
+            self._loop.call_soon_threadsafe(self._run_requested_turn)
+
+    def _run_requested_turn(self) -> None:
+        with self._lock:
+            self._turn_requested = False
+        self._run_timers()
+
     def _members_status(self) -> dict[str, object]:
         """Return the content of `/members`."""
         membership, now = self._membership, clock()
