Session: a client that has left behind unread bytes gets nothing sent on

Seen, forced between two steps of an attempt: a client sends more and closes while its server is being connected; its request was sent all the same. Cause: _is_abandoned peeked one byte for the end of the stream, which stands behind what nobody has read; the reader task had not run yet. Change: bytes that wait count as well (ERR, nothing sent); the same look precedes the first line of a connection from before the start. Test, seen failing before with 6 and 12,288 bytes unread: test_nothing_is_sent_for_a_client_that_leaves_with_much_unread_before_the_first_line_is_sent.

--- a/switchhub/net/line_socket.py
+++ b/switchhub/net/line_socket.py
@@ -217,6 +217,13 @@
         except OSError:
             return True
 
+    def has_arrived(self) -> bool:
+        """Whether bytes wait in the kernel; they are left there."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def has_unread(self) -> bool:
         """Whether unread bytes are here or in the kernel; the end of the stream does not count."""
         return bool(len(self.unread()) or self.read_available())
--- a/switchhub/net/session.py
+++ b/switchhub/net/session.py
@@ -393,13 +393,15 @@
             facade.report(self._clock(), Ended(request.id, elapsed, result, False))
 
     def _is_abandoned(self) -> bool:
-        """Whether the client no longer waits for an answer or this balancer is stopping.
+        """Whether the client no longer waits for an answer, or sent more, or this balancer is stopping.
 
         This is the only check before an attempt may begin or become the established connection. It looks at
         the socket itself: the client may leave in the same iteration of the event loop in which an attempt
         ends, before its reader task has run."""
         if self.client.peer_closed():
             self._end(EndReason.CLIENT)
+        elif self.client.has_arrived():  # it may have left as well, behind what it sent
+            self._end(EndReason.EARLY)
         return self._end_reason.done()
 
     def _answer_abandoned(self) -> bool:
@@ -531,6 +533,8 @@
             line_socket = self.server = self._listener.sockets.open_to_server()
             async with asyncio.timeout_at(latest_end):
                 await loop.sock_connect(line_socket.sock, address)
+            if self._is_abandoned():
+                return Result.NOT_SENT
             await self._send_first_line(line_socket, first_line, latest_end)
         except (OSError, TimeoutError):
             return Result.UNREACHABLE
--- a/tests/test_session_races.py
+++ b/tests/test_session_races.py
@@ -12,6 +12,7 @@
 import pytest
 
 from switchhub.admission.controller import AdmissionDecision
+from switchhub.net.line_socket import LINE_MAX_BYTES
 from tests.harness import CONNECTION_IDS, TIMEOUT_S, settings
 from tests.scripted_balancer import BalancerFixture, ScriptedServer, reset, run_script
 
@@ -161,15 +162,43 @@
     async def script(fixture: BalancerFixture) -> None:
         await fixture.open_request(before=before_connect(fixture, lambda: fixture.client.close()))
         await fixture.client_output()
-        for each in fixture.servers.values():
-            try:
-                sock, _ = each.sock.accept()
-            except BlockingIOError:
-                continue
-            sock.setblocking(False)
-            async with asyncio.timeout(TIMEOUT_S):
-                assert await asyncio.get_running_loop().sock_recv(sock, 100) == b""
-            sock.close()
+        await assert_nothing_was_sent(fixture)
+
+    run_script(tmp_path, script)
+
+
+async def assert_nothing_was_sent(fixture: BalancerFixture) -> None:
+    """Assert that no server has received a byte, whether it was connected to or not."""
+    for each in fixture.servers.values():
+        try:
+            sock, _ = each.sock.accept()
+        except BlockingIOError:
+            continue
+        sock.setblocking(False)
+        async with asyncio.timeout(TIMEOUT_S):
+            assert await asyncio.get_running_loop().sock_recv(sock, 100) == b""
+        sock.close()
+
+
+@pytest.mark.parametrize("unread", [0, 6, 3 * LINE_MAX_BYTES])
+def test_nothing_is_sent_for_a_client_that_leaves_with_much_unread_before_the_first_line_is_sent(
+    tmp_path: Path, unread: int
+) -> None:
+    """The end of its stream was looked for in front of what it had sent, where it does not stand."""
+
+    async def script(fixture: BalancerFixture) -> None:
+        is_ready = fixture.listener.discovery.is_ready
+
+        def leave_and_look(server: str) -> bool:  # the last look at the server before its line is sent
+            if fixture.client.fileno() >= 0:
+                fixture.client.send(b"x" * unread)
+                fixture.client.close()
+            return is_ready(server)
+
+        fixture.listener.discovery.is_ready = leave_and_look  # type: ignore[method-assign]
+        await fixture.open_request()
+        await fixture.task
+        await assert_nothing_was_sent(fixture)
 
     run_script(tmp_path, script)
 
