Ids: each is used once, also at the other process of an upgrade

Seen: 3,000 ids, used and left, came again: 3,000 of 3,000 ran again in the same process and at the new process of an upgrade. Cause: a process remembered 2,048 ended ids, and told its successor only of connections that stood.

--- a/switchhub/handover/channel.py
+++ b/switchhub/handover/channel.py
@@ -79,6 +79,11 @@
         """Return a duplicate of the socket, for a thread that sends whole messages beside this channel."""
         return self._sock.dup()
 
+    @property
+    def waiting(self) -> int:
+        """How many messages wait until the peer makes room."""
+        return len(self._unsent)
+
     def send(self, message: bytes, *sockets: socket.socket) -> None:
         """Send the message now, or in a later `flush` once there is room.
 
--- a/switchhub/handover/link.py
+++ b/switchhub/handover/link.py
@@ -43,6 +43,7 @@
 
 TICK_INTERVAL_S = 0.02  # between two checks of the right to accept and of this process's connections
 SENT_REPORT_INTERVAL_S = 0.1  # between two reports of what was sent to cold servers
+MAX_WAITING_REPORTS = 4096  # messages that wait for a stalled peer, beyond which no further ids are sent
 MAX_UNCONFIRMED = 32  # connections passed on and not confirmed; if the new process stalls, these hang
 
 
@@ -222,6 +223,9 @@
         If a message is malformed or of an unknown kind, this raises `MessageError` in the older process; the
         newer one logs it and goes on."""
         self._listener.add_link(self)
+        self._listener.ids.observers.append(self._report_used)
+        if self.is_newer:  # the older process sends them with its state
+            self._send_used_ids()
         tick_task = asyncio.create_task(self._run_ticks())
         try:
             if self.right_state is not None:
@@ -247,6 +251,8 @@
     def close(self) -> None:
         """Close the channel and give up the peer's connections."""
         self._closed.set()
+        if self._report_used in self._listener.ids.observers:
+            self._listener.ids.observers.remove(self._report_used)
         self._channel.close()
         self.lost_connections = len(self._peer_connections)
         self.stop_counting(list(self._peer_connections))
@@ -275,7 +281,9 @@
                 for held in messages.decode_held(values):
                     self._count_connection(held)
             elif kind == "ended":
-                self.stop_counting([str(connection_id) for connection_id in values.get("ids", ())])
+                ids = messages.decode_ended(values)
+                self.stop_counting(ids)
+                self._listener.ids.remember(ids)
             elif kind == "sent":
                 self._merge_sent(messages.decode_sent(values))
             elif kind == "got":
@@ -350,7 +358,7 @@
             return
         if held.id in self._peer_connections:
             self.stop_counting([held.id])
-        listener.ids.reserve(held.id)
+        listener.ids.occupy(held.id)
         logger.debug("connection {} is held by the {} process, at {}", held.id, self._peer_age, held.server)
         request = messages.request_from(held, listener.config.classes, listener.config.tenants)
         listener.facade.report(listener.clock(), Adopted(request, held.server))
@@ -407,6 +415,7 @@
         listener = self._listener
         address, listing = listener.discovery.snapshot()
         self.send(messages.encode_message("known", discovery="{}:{}".format(*address), listing=listing))
+        self._send_used_ids()
         self.report_connections()
         self.send(
             messages.encode_message(
@@ -414,6 +423,17 @@
             )
         )
 
+    def _send_used_ids(self) -> None:
+        for message in messages.encode_ended(self._listener.ids.all()):
+            self.send(message)
+
+    def _report_used(self, connection_id: str) -> None:
+        """Send the peer an id before its request goes anywhere: the client may leave and come to the peer.
+
+        Left out while the peer stalls for so long that the messages pile up."""
+        if self._channel.waiting < MAX_WAITING_REPORTS:
+            self.send(messages.encode_message("ended", ids=[connection_id]))
+
     def report_connections(self) -> None:
         """Send the peer what has changed among this process's connections since the last report."""
         sessions, reported = self._listener.sessions, self._reported
@@ -436,8 +456,8 @@
             for connection_id in placed_ids
             if (held := sessions[connection_id].handover_record()) is not None
         ]
-        if ended_ids:
-            self.send(messages.encode_message("ended", ids=ended_ids))
+        for message in messages.encode_ended(ended_ids):
+            self.send(message)
         self._report_sent(time.monotonic())
         for message in messages.encode_held(newly_placed):
             self.send(message)
--- a/switchhub/handover/messages.py
+++ b/switchhub/handover/messages.py
@@ -17,7 +17,8 @@
                  join      sent first, instead of `ask`, by an old process that has lost its new one: form,
                            listen, queue, start time of the sender (born)
     both         held      connections that the sender holds now
-                 ended     ids of connections that the sender no longer holds
+                 ended     ids of connections that the sender no longer holds, or of which it may hold one
+                           later: they are used up for the receiver
                  sent      load that was sent to cold servers
                  right     a claim to the right to accept (`accept_right.py`)
                  beat      a heartbeat (`accept_right.py`)
@@ -33,13 +34,14 @@
 import base64
 import json
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from switchhub.decision.interface import LearnedServer, LearnedState, Request
 
 PROTOCOL_VERSION = 1  # field `form`; processes of different versions do not join
 CONNECTIONS_PER_MESSAGE = 64  # connections in one `held` message
+IDS_PER_MESSAGE = 512  # ids in one `ended` message
 MAX_MESSAGE_BYTES = 1 << 17  # of one message as received
 MALFORMED = (KeyError, TypeError, ValueError, OverflowError)  # what decoding a malformed message raises
 
@@ -111,6 +113,22 @@
     ]
 
 
+def encode_ended(ids: Sequence[str]) -> list[bytes]:
+    """Return as many `ended` messages as these ids need."""
+    return [
+        encode_message("ended", ids=ids[start : start + IDS_PER_MESSAGE])
+        for start in range(0, len(ids), IDS_PER_MESSAGE)
+    ]
+
+
+def decode_ended(values: Mapping[str, Any]) -> list[str]:
+    """Return the ids of an `ended` message; raise `MessageError` if it is malformed."""
+    ids = values.get("ids")
+    if not isinstance(ids, list) or not all(isinstance(each, str) for each in ids):
+        raise MessageError("malformed ended message: expected a list of strings")
+    return ids
+
+
 def decode_held(values: Mapping[str, Any]) -> list[HeldConnection]:
     """Return the connections of a `held` message; raise `MessageError` if one is malformed."""
     try:
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -24,6 +24,7 @@
 from switchhub.lifecycle.move_pacer import MovePacer
 from switchhub.lifecycle.phase import Lifecycle, Phase
 from switchhub.net.config import Address, Config, ConfigError, read_config
+from switchhub.net.connection_ids import ConnectionIds
 from switchhub.net.counters import Counters
 from switchhub.net.discovery import Discovery
 from switchhub.net.health import ServerHealth
@@ -54,7 +55,6 @@
 # Clients are moved evenly over the part of a stop's duration between these fractions of it.
 STOP_MOVE_BEGIN_FRACTION = 0.5
 STOP_MOVE_END_FRACTION = 0.92
-ENDED_IDS_KEPT = 2048  # ids of ended connections that are remembered
 RESTART_ONLY_FIELDS = (  # fields of the configuration that a reload does not change
     "name",
     "listen",
@@ -70,28 +70,6 @@
 FINAL_ANSWERS_S = 0.1  # time at the end of a stop in which requests that are still open are answered
 
 
-class ConnectionIds:
-    """The ids of connections that are open or ended recently; each id is used for one connection only."""
-
-    def __init__(self) -> None:
-        self._open: set[str] = set()
-        self._ended: dict[str, None] = {}  # oldest first
-
-    def reserve(self, name: str) -> bool:
-        """Reserve an id; return whether it was free."""
-        if name in self._open or name in self._ended:
-            return False
-        self._open.add(name)
-        return True
-
-    def release(self, name: str) -> None:
-        """Mark the id's connection as ended; the id stays unavailable for a while."""
-        self._open.discard(name)
-        self._ended[name] = None
-        if len(self._ended) > ENDED_IDS_KEPT:
-            del self._ended[next(iter(self._ended))]
-
-
 class Listener:
     """One balancer process.
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -138,6 +138,45 @@
     asyncio.run(scenario())
 
 
+async def use_id_and_leave(balancer: BalancerProcess, server: FakeServer, connection_id: bytes) -> None:
+    """Open a connection under this id and leave; return when the server has seen both."""
+    client = await balancer.client()
+    client.send(b"OPEN %s key c=any,t=acme,d=2000\r\n" % connection_id)
+    assert (await client.read_line()).startswith(b"UP ")
+    client.writer.close()
+    async with asyncio.timeout(TIMEOUT_S):
+        await server.streams[-1][1].wait_closed()
+
+
+async def answer_to_id(balancer: BalancerProcess, connection_id: bytes) -> bytes:
+    client = await balancer.client()
+    client.send(b"OPEN %s key c=any,t=acme,d=2000\r\n" % connection_id)
+    return await client.read_line()
+
+
+def test_id_whose_client_has_left_the_old_process_is_rejected_by_the_new_one(tmp_path: Path) -> None:
+    """The new process knew only of connections that still stood: such an id ran twice."""
+
+    async def scenario() -> None:
+        server = FakeServer("a")
+        async with running_balancer(tmp_path, server, management=True) as (old, _):
+            ids = [b"00cc%02d" % number for number in range(40)]
+            for each in ids[:20]:
+                await use_id_and_leave(old, server, each)
+            async with upgrade(old) as new:
+                assert [await answer_to_id(new, each) for each in ids[:20]] == [b"ERR\r\n"] * 20
+                for each in ids[20:]:
+                    await use_id_and_leave(new, server, each)
+                    assert await answer_to_id(new, each) == b"ERR\r\n"
+                new.killed = True
+                new.process.kill()
+                await old.wait_for_log("ready again")
+                assert [await answer_to_id(old, each) for each in ids] == [b"ERR\r\n"] * 40
+            assert len(server.first_lines) == len(ids)
+
+    asyncio.run(scenario())
+
+
 def test_id_in_use_at_a_stalled_new_process_is_rejected(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
