Stop: its moments stand in one pure module, its steps in methods of their own

Left behind by earlier work: Listener._finish_sessions computed the moments of a stop between the steps of a long loop, and the lab's model computed them once more. Change: lifecycle/stop_schedule.py, used by both; waiting for sessions and ending what remains are methods. No time is changed; the model now also waits for the last arrivals (0.45 s), as the program does, which differs only for longest deadlines under 0.6 s. Measured: tests of the lifecycle, the model, hand-overs and races 153 passed; those of the program that drain, stop and upgrade pass.

--- a/switchhub/lab/model.py
+++ b/switchhub/lab/model.py
@@ -35,13 +35,8 @@
     discovery_updates,
     expand_troubles,
 )
+from switchhub.lifecycle.stop_schedule import StopSchedule
 from switchhub.net.health import ServerHealth
-from switchhub.net.listener import (
-    STOP_DEADLINE_MAX_S,
-    STOP_MARGIN_S,
-    STOP_MOVE_BEGIN_FRACTION,
-    STOP_MOVE_END_FRACTION,
-)
 from switchhub.net.request import ANSWER_MARGIN_MS
 from switchhub.net.session import SILENCE_TIMEOUT_MS, SILENT_SERVER_TIMEOUT_MS
 
@@ -317,16 +312,13 @@
         simulation = self.simulation
         self.stopping = True
         longest_deadline = max(each.deadline_ms for each in simulation.scenario.classes) / 1000
-        time_limit = min(longest_deadline, STOP_DEADLINE_MAX_S) + STOP_MARGIN_S
-        start, end = (
-            simulation.now + time_limit * STOP_MOVE_BEGIN_FRACTION,
-            simulation.now + time_limit * STOP_MOVE_END_FRACTION,
-        )
-        steps = int((end - start) / TICK_INTERVAL_S)
-        for step in range(int(time_limit * (1 - STOP_MOVE_BEGIN_FRACTION) / TICK_INTERVAL_S) + 1):
+        schedule = StopSchedule.starting_at(simulation.now, longest_deadline)
+        start = schedule.moves_begin_at
+        steps = int((schedule.moves_end_at - start) / TICK_INTERVAL_S)
+        for step in range(int((schedule.ends_at - start) / TICK_INTERVAL_S) + 1):
             simulation.schedule(start + step * TICK_INTERVAL_S, self.move_share, max(0, steps - step))
         simulation.schedule(simulation.now + STOP_DISPATCH_DELAY_S, simulation.dispatcher.remove, self.index)
-        simulation.schedule(simulation.now + time_limit + KILL_MARGIN_S, simulation.kill_balancer, self)
+        simulation.schedule(schedule.ends_at + KILL_MARGIN_S, simulation.kill_balancer, self)
 
     def move_share(self, steps_left: int) -> None:
         """Move an even share of the established connections; all of them if no steps are left."""
--- a/switchhub/net/listener.py
+++ b/switchhub/net/listener.py
@@ -23,6 +23,7 @@
 from switchhub.decision.facade import Facade, Send
 from switchhub.lifecycle.move_pacer import MovePacer
 from switchhub.lifecycle.phase import Lifecycle, Phase
+from switchhub.lifecycle.stop_schedule import StopSchedule
 from switchhub.net.config import Address, Config, ConfigError, read_config
 from switchhub.net.connection_ids import ConnectionIds
 from switchhub.net.counters import Counters
@@ -47,14 +48,6 @@
 SILENCE_CHECK_INTERVAL_S = 0.1  # interval at which silent connections are looked for
 ACCEPT_FAILURE_PAUSE_S = 0.02  # pause after a connection could not be accepted
 OUT_OF_DESCRIPTORS_S = 0.1  # how long after such a failure the process counts as out of descriptors
-# Time from the start of a stop in which clients are still accepted and none is moved: new connections still
-# arrive here, so a moved client would too.
-STOP_ACCEPT_MIN_S = 0.45
-STOP_DEADLINE_MAX_S = 3.0  # longest client deadline that a stop waits for
-STOP_MARGIN_S = 0.3  # added to that deadline
-# Clients are moved evenly over the part of a stop's duration between these fractions of it.
-STOP_MOVE_BEGIN_FRACTION = 0.5
-STOP_MOVE_END_FRACTION = 0.92
 RESTART_ONLY_FIELDS = (  # fields of the configuration that a reload does not change
     "name",
     "listen",
@@ -542,55 +535,52 @@
         """Stop in order: accept while clients still come, move all connections, wait for pending answers."""
         logger.info("stopping with {} sessions", len(self.sessions))
         longest_deadline = max((each.deadline for each in self.config.settings.classes), default=0.0) / 1000
-        time_limit = min(longest_deadline, STOP_DEADLINE_MAX_S) + STOP_MARGIN_S
-        started = self.loop.time()
-        latest_end = started + time_limit
-        # Where balancers are restarted one after another, later moves find more of the others serving again.
-        moves_begin_after = max(STOP_ACCEPT_MIN_S, time_limit * STOP_MOVE_BEGIN_FRACTION)
-        # Without a handover sender this process is alone at its address and accepts for as long as it has
-        # connections: a client that finds the address closed is lost.
-        accept_end = started + STOP_ACCEPT_MIN_S if self._handover_sender is None else math.inf
-        handover_sender, all_sent, successor_confirmed, stop_time = (
-            self._handover_sender,
-            True,
-            False,
-            time.monotonic(),
-        )
-        moves_end_at = started + time_limit * STOP_MOVE_END_FRACTION
+        schedule = StopSchedule.starting_at(self.loop.time(), longest_deadline)
         if self._move_pacer is None:
-            self._move_pacer = MovePacer(started + moves_begin_after, moves_end_at)
+            self._move_pacer = MovePacer(schedule.moves_begin_at, schedule.moves_end_at)
         else:  # a drain goes on moving at once, but must end before this process does
-            self._move_pacer.end_by(moves_end_at)
-        while (now := self.loop.time()) < latest_end and (
+            self._move_pacer.end_by(schedule.moves_end_at)
+        if not await self._wait_for_sessions(schedule, time.monotonic()):
+            await self._accept_backlog_and_close()
+        self._setup_queue.refuse_all()
+        await self._end_remaining_sessions()
+        logger.info("stopped with {} sessions", len(self.sessions))
+
+    async def _wait_for_sessions(self, schedule: StopSchedule, stop_time: float) -> bool:
+        """Pass connections on, and wait until all have ended or the stop is over.
+
+        `stop_time` is when the stop began, by the monotonic clock. Returns whether a successor process has
+        confirmed since then that it accepts from the queue that both share."""
+        sender = self._handover_sender
+        # Without a handover sender this process is alone at its address and accepts for as long as it has
+        # connections: a client that finds the address closed is lost.
+        accept_end = schedule.accepts_until if sender is None else math.inf
+        all_sent, successor_confirmed = True, False
+        while (now := self.loop.time()) < schedule.ends_at and (
             self.sessions
             or self._tasks
             or not all_sent
             or not (successor_confirmed or self._address_released or now >= accept_end)
         ):
-            if handover_sender is not None:
-                await handover_sender.pass_on_all()
-                all_sent = handover_sender.all_sent()
-            successors = handover_sender.links if handover_sender is not None else []
-            successor_confirmed = any(
-                each.can_receive_connections and each.shares_queue and each.heartbeat_since(stop_time)
-                for each in successors
-            )
-            if (
-                handover_sender is not None
-                and now >= started + STOP_ACCEPT_MIN_S
-                and not any(each.shares_queue for each in successors)
-            ):
-                await self._accept_backlog_and_close()
+            if sender is not None:
+                await sender.pass_on_all()
+                all_sent = sender.all_sent()
+                successor_confirmed = any(
+                    each.can_receive_connections and each.shares_queue and each.heartbeat_since(stop_time)
+                    for each in sender.links
+                )
+                queue_is_shared = any(each.shares_queue for each in sender.links)
+                if now >= schedule.accepts_until and not queue_is_shared:
+                    await self._accept_backlog_and_close()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-        if not successor_confirmed:
-            await self._accept_backlog_and_close()
-        self._setup_queue.refuse_all()
+        return successor_confirmed
+
+    async def _end_remaining_sessions(self) -> None:
+        """Answer the requests that are still open, also those that are read only now."""
         answer_deadline = self.loop.time() + FINAL_ANSWERS_S
         while self._tasks and self.loop.time() < answer_deadline:
-            # Includes requests from the backlog that are read only now.
             for session in list(self.sessions.values()):
                 session.end_for_stop()
             await asyncio.wait(
                 self._tasks, timeout=HOUSEKEEPING_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
             )
-        logger.info("stopped with {} sessions", len(self.sessions))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,6 +8,7 @@
 
 from switchhub.lifecycle.move_pacer import MovePacer
 from switchhub.lifecycle.phase import Lifecycle, Phase
+from switchhub.lifecycle.stop_schedule import StopSchedule
 
 
 def ready_lifecycle() -> Lifecycle:
@@ -92,6 +93,17 @@
     assert lifecycle.accepts_new_clients
 
 
+@given(st.floats(0.5, 10.0))
+def test_a_stop_moves_its_clients_after_the_last_arrivals_and_ends_before_it_may_be_killed(
+    longest_deadline: float,
+) -> None:
+    schedule = StopSchedule.starting_at(100.0, longest_deadline)
+    assert (
+        100.4 < schedule.accepts_until <= schedule.moves_begin_at < schedule.moves_end_at < schedule.ends_at
+    )
+    assert schedule.ends_at <= 100.0 + min(longest_deadline, 3.0) + 0.7 - 0.3
+
+
 def test_moves_are_even_and_done_in_time() -> None:
     pacer, established, moved = MovePacer(1.0, 3.0), 200, []
     for step in range(300):
