--- a/switchhub/decision/discovery_retry.py
+++ b/switchhub/decision/discovery_retry.py
@@ -8,19 +8,24 @@
 queue is full, each failure from the fourth on doubles the wait. A full queue shows by both kinds of failures:
 calls that are held in it until they fail, and calls that are refused at once.
 
-All other waits stay short, however long the outage: a balancer counts as knowing what discovery knows 6 s
-after discovery can be reached, which leaves time for a wait of 4 s and a call. A discovery that is down may
-hold calls too, and a wait that had grown meanwhile would outlast its return.
+All other waits stay short: a balancer counts as knowing what discovery knows 6 s after discovery can be
+reached, which leaves time for a wait of 4 s and a call. A discovery that is down may hold calls too, and a
+wait that had grown meanwhile would outlast its return. A queue that refuses nobody looks like such an outage,
+and short waits would keep it full for good. So calls held for minutes count as a full queue as well.
 """
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 RETRY_BASE_MS = 1500.0  # longest wait after the first failed call
 RETRY_MAX_MS = 4000.0  # longest wait, unless discovery's queue is full
 DISCOVERY_CALL_WORK_MS = 250.0  # time that one call takes discovery in the worst case
 HELD_CALL_MS = 900.0  # a call that fails after this time or more was held
+FULL_QUEUE_AFTER_MS = (
+    120_000.0  # time of failed calls, some of them held, after which the queue counts as full
+)
 FAILURES_BEFORE_BACKOFF = 3  # failed calls after which a full queue doubles the wait
 FAILURES_COUNTED_MAX = 9  # bounds the exponents
 # Waits are random, from this fraction of the longest one on; while the queue is full, from the second.
@@ -47,12 +52,14 @@
     def _forget_failures(self, watching: bool = False) -> None:
         self.watching = watching
         self._failures = 0
+        self._failing_since = math.inf
+        self._failed_at = -math.inf  # the last failure
         self._held = False  # one of these calls failed only after a time
         self._refused = False  # discovery refused one of these calls at once
 
     @property
     def _queue_full(self) -> bool:
-        return self._held and self._refused
+        return self._held and (self._refused or self._failed_at - self._failing_since >= FULL_QUEUE_AFTER_MS)
 
     def record_call(self, now: float) -> None:
         """Record that a call begins, or goes on after news from discovery."""
@@ -80,6 +87,7 @@
             self._held |= held
             self._refused |= refused and not held
         self._failures += 1
+        self._failing_since, self._failed_at = min(now, self._failing_since), now
         self.watching = False
         return first
 
