--- a/switchhub/decision/discovery_retry.py
+++ b/switchhub/decision/discovery_retry.py
@@ -23,9 +23,7 @@
 RETRY_MAX_MS = 4000.0  # longest wait, unless discovery's queue is full
 DISCOVERY_CALL_WORK_MS = 250.0  # time that one call takes discovery in the worst case
 HELD_CALL_MS = 900.0  # a call that fails after this time or more was held
-FULL_QUEUE_AFTER_MS = (
-    120_000.0  # time of failed calls, some of them held, after which the queue counts as full
-)
+FULL_QUEUE_AFTER_MS = 120_000.0  # time of failed calls after which held ones mean a full queue
 FAILURES_BEFORE_BACKOFF = 3  # failed calls after which a full queue doubles the wait
 FAILURES_COUNTED_MAX = 9  # bounds the exponents
 # Waits are random, from this fraction of the longest one on; while the queue is full, from the second.
