Ids: one that was known before its connection ended counts from that end

Found on reading the change again: an id that the other process has reported as used keeps its place among the used ones when its connection ends later, so it could be forgotten after far fewer than 16,384 others. Change: it becomes the latest; a doc comment in the proposer says what happens to an earlier entry. Test, seen failing before: test_an_id_that_was_known_before_its_connection_ ended_counts_from_that_end. tests/test_connection_ids.py: 4 passed.

--- a/switchhub/leases/proposer.py
+++ b/switchhub/leases/proposer.py
@@ -211,7 +211,9 @@
         return math.inf
 
     def _schedule_turn(self, wanted: WantedLease) -> None:
-        """Have `turn` look at this lease when it is due, or earlier if it was due earlier before."""
+        """Have `turn` look at this lease when it is due.
+
+        An entry for an earlier time stays; `_next_scheduled` replaces it once it comes first."""
         if (due := wanted.due) < wanted.scheduled_at:
             wanted.scheduled_at = due
             heapq.heappush(self._schedule, (due, wanted.lease))
--- a/switchhub/net/connection_ids.py
+++ b/switchhub/net/connection_ids.py
@@ -41,6 +41,7 @@
     def remember(self, names: Iterable[str]) -> None:
         """Keep ids unavailable for a while; one that is in use stays so."""
         for name in names:
+            self._used.pop(name, None)  # so that it becomes the latest, also if it was known before
             self._used[name] = None
             if len(self._used) > USED_IDS_KEPT:
                 del self._used[next(iter(self._used))]
--- a/tests/test_connection_ids.py
+++ b/tests/test_connection_ids.py
@@ -31,3 +31,14 @@
     ids.remember(("from elsewhere",))
     assert ids.reserve("a") and not ids.reserve("a") and not ids.reserve("from elsewhere")
     assert seen == ["a"]
+
+
+def test_an_id_that_was_known_before_its_connection_ended_counts_from_that_end() -> None:
+    """The other process reports an id as used when it reserves it, and its connection ends much later."""
+    ids = ConnectionIds()
+    ids.remember(("held",))
+    ids.occupy("held")
+    ids.remember(f"other{number}" for number in range(USED_IDS_KEPT - 1))
+    ids.release("held")
+    ids.remember(("later",))
+    assert not ids.reserve("held")
